--- /dev/null
+++ b/bench/src/main/java/org/galenahinge/bench/DemoMain.java
@@ -0,0 +1,158 @@
+package org.galenahinge.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.galenahinge.bench.LocalFleet.Node;
+
+/** Shows the whole path: a fleet on this machine, mixed load, two kills, a graceful stop and a report. */
+public final class DemoMain {
+    private static final int CHUNKS = 40;
+    private static final int CHUNK_BYTES = 256 << 10;
+    private static final long LINK_RATE = 20_000_000;
+    private static final long STOP_LIMIT_SECONDS = 25;
+    private static final Duration READY_LIMIT = Duration.ofSeconds(40);
+    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(25);
+    private static final long PHASE_MILLIS = 3_000;
+
+    private DemoMain() {}
+
+    /**
+     * Runs the demonstration. Exits with 0 when every promise held.
+     *
+     * @param arguments the flags; {@code --help} lists them
+     * @throws IOException when the folder for logs cannot be made
+     */
+    public static void main(String[] arguments) throws IOException {
+        Namespace flags = parser().parseArgsOrFail(arguments);
+        long seed = flags.getLong("seed");
+        Profile profile = Profile.of(flags.getString("profile"));
+        int vms = Math.max(6, flags.getInt("vms"));
+        Path home = Path.of(System.getProperty("galenahinge.home", "."));
+        Path logs = Files.createTempDirectory("galenahinge-demo");
+        System.out.println(
+                "seed " + seed + ", profile " + profile.label() + ", " + vms + " upstream VMs, logs in " + logs);
+        LocalFleet.Shape shape = new LocalFleet.Shape(
+                profile, 3, vms - 3, 3, CHUNKS, CHUNK_BYTES, LINK_RATE, LINK_RATE, List.of("--step-micros", "8000"));
+        int exitCode;
+        try (LocalFleet fleet = LocalFleet.start(home, logs, shape)) {
+            DemoReport report = new DemoReport(profile);
+            run(fleet, report, seed, flags.getBoolean("keep"));
+            System.out.print(report.render());
+            exitCode = report.broken().isEmpty() ? 0 : 1;
+        }
+        System.exit(exitCode);
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser = ArgumentParsers.newFor("bin/demo")
+                .build()
+                .description("Starts a whole fleet on this machine, drives it, breaks it, stops it and reports.");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the load; default 1");
+        parser.addArgument("--vms").type(Integer.class).setDefault(6).help("upstream VMs, at least 6; default 6");
+        parser.addArgument("--profile")
+                .choices("khukuri", "blue-mahoe")
+                .setDefault("khukuri")
+                .help("whose fleet");
+        parser.addArgument("--keep").action(Arguments.storeTrue()).help("leave the fleet running until Ctrl-C");
+        return parser;
+    }
+
+    private static void run(LocalFleet fleet, DemoReport report, long seed, boolean keep) {
+        long publishedNanos = System.nanoTime();
+        fleet.publish(1, fleet.ticket(1, "1"));
+        boolean inForce = awaitTicket(fleet, 1);
+        report.ticket(1, inForce, elapsedMillis(publishedNanos));
+        boolean ready = awaitReady(fleet, "1");
+        report.spread(ready, elapsedMillis(publishedNanos), originCopies(fleet));
+        if (keep) {
+            printKept(fleet);
+            HttpTool.pause(Long.MAX_VALUE);
+        }
+        Ledger ledger = new Ledger();
+        List<String> seeds = fleet.nodes("entry").stream().map(Node::url).toList();
+        Load.Mix mix = new Load.Mix(12, 20, fleet.profile().model(), 40, 24, List.of(5.0, 3.0, 1.0, 1.0, 1.0));
+        try (Load load = Load.start(seeds, mix, ledger, seed)) {
+            HttpTool.pause(PHASE_MILLIS);
+            killOne(fleet, "entry", 1);
+            HttpTool.pause(PHASE_MILLIS);
+            killOne(fleet, "upstream", 0);
+            HttpTool.pause(PHASE_MILLIS);
+            report.unanswered(load.stop(ANSWER_LIMIT));
+            report.load(load.sent(), ledger, ledger.audit(executions(fleet)), violations(fleet));
+        }
+        report.memory(fleet);
+        report.stop(fleet.stopGracefully(STOP_LIMIT_SECONDS));
+    }
+
+    private static void killOne(LocalFleet fleet, String kind, int index) {
+        Node node = fleet.nodes(kind).get(index);
+        System.out.println("killing the process of " + node.name());
+        fleet.process(node).kill();
+    }
+
+    static boolean awaitTicket(LocalFleet fleet, long number) {
+        String url = fleet.nodes("entry").get(0).url() + "/v1/operations/tickets/" + number;
+        return HttpTool.await(url, status -> status.path("state").asText().equals("in-force"), READY_LIMIT)
+                .isPresent();
+    }
+
+    static boolean awaitReady(LocalFleet fleet, String version) {
+        String url = fleet.nodes("entry").get(0).url() + "/v1/operations/models/"
+                + fleet.profile().model() + "/" + version;
+        return HttpTool.await(
+                        url,
+                        progress -> progress.path("replicasReady").asInt() > 0
+                                && progress.path("replicasReady").asInt()
+                                        == progress.path("replicasWanted").asInt(),
+                        READY_LIMIT)
+                .isPresent();
+    }
+
+    private static double originCopies(LocalFleet fleet) {
+        long served = HttpTool.get(fleet.originUrl() + "/statistics")
+                .map(statistics -> statistics.path("bytesServed").asLong())
+                .orElse(0L);
+        return served / ((double) CHUNKS * CHUNK_BYTES);
+    }
+
+    static Map<String, Long> executions(LocalFleet fleet) {
+        Map<String, Long> total = new HashMap<>();
+        for (Node node : fleet.orders()) {
+            Optional<JsonNode> reported = HttpTool.get(fleet.upstreamUrl(node) + "/executions");
+            reported.ifPresent(document -> Ledger.addExecutions(total, document));
+        }
+        return total;
+    }
+
+    static List<String> violations(LocalFleet fleet) {
+        List<String> lines = new ArrayList<>();
+        for (Node node : fleet.nodes("upstream")) {
+            fleet.upstream(node).logLinesWith("VIOLATION").forEach(line -> lines.add(node.name() + ": " + line));
+        }
+        return lines;
+    }
+
+    private static long elapsedMillis(long sinceNanos) {
+        return Duration.ofNanos(System.nanoTime() - sinceNanos).toMillis();
+    }
+
+    private static void printKept(LocalFleet fleet) {
+        System.out.println("running until Ctrl-C; try docs/CALLERS.md with");
+        System.out.println("  export ENTRY=" + fleet.nodes("entry").get(0).url());
+        System.out.println("  export GALENAHINGE_ENTRIES="
+                + String.join(",", fleet.nodes("entry").stream().map(Node::url).toList()));
+        System.out.println("  export CONFIGURATION=" + fleet.configurationUrl());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/galenahinge/bench/Ledger.java
@@ -0,0 +1,181 @@
+package org.galenahinge.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Records what callers saw, to be held against what upstreams executed. */
+public final class Ledger {
+    private static final long HIGHEST_MICROS = 600_000_000L;
+
+    private final Map<Outcome, AtomicLong> drafts = counters();
+    private final Map<Outcome, AtomicLong> orders = counters();
+    private final Map<String, Outcome> orderOutcomes = new ConcurrentHashMap<>();
+    private final Queue<String> complaints = new ConcurrentLinkedQueue<>();
+    private final AtomicLong callerRetries = new AtomicLong();
+    private final Histogram firstTokenMicros = new ConcurrentHistogram(HIGHEST_MICROS, 3);
+    private final Histogram betweenTokensMicros = new ConcurrentHistogram(HIGHEST_MICROS, 3);
+    private final Histogram orderMicros = new ConcurrentHistogram(HIGHEST_MICROS, 3);
+
+    void draft(Outcome outcome) {
+        drafts.get(outcome).incrementAndGet();
+    }
+
+    void order(String order, Outcome outcome) {
+        orders.get(outcome).incrementAndGet();
+        orderOutcomes.put(order, outcome);
+    }
+
+    void complain(String complaint) {
+        if (complaints.size() < 50) {
+            complaints.add(complaint);
+        }
+    }
+
+    void callerRetried() {
+        callerRetries.incrementAndGet();
+    }
+
+    void firstToken(long nanos) {
+        record(firstTokenMicros, nanos);
+    }
+
+    void betweenTokens(long nanos) {
+        record(betweenTokensMicros, nanos);
+    }
+
+    void orderTime(long nanos) {
+        record(orderMicros, nanos);
+    }
+
+    /**
+     * Returns how many drafts ended in an outcome.
+     *
+     * @param outcome the outcome
+     * @return the count
+     */
+    public long drafts(Outcome outcome) {
+        return drafts.get(outcome).get();
+    }
+
+    /**
+     * Returns how many orders ended in an outcome.
+     *
+     * @param outcome the outcome
+     * @return the count
+     */
+    public long orders(Outcome outcome) {
+        return orders.get(outcome).get();
+    }
+
+    /**
+     * Returns how many times callers tried again by themselves.
+     *
+     * @return the count
+     */
+    public long callerRetries() {
+        return callerRetries.get();
+    }
+
+    /**
+     * Returns what callers complained of, the first ones only.
+     *
+     * @return the complaints
+     */
+    public Iterable<String> complaints() {
+        return complaints;
+    }
+
+    /**
+     * Returns a percentile of the time to the first token, counted from when the request was due.
+     *
+     * @param percentile the percentile
+     * @return milliseconds
+     */
+    public double firstTokenMillis(double percentile) {
+        return firstTokenMicros.getValueAtPercentile(percentile) / 1_000.0;
+    }
+
+    /**
+     * Returns a percentile of the time between two tokens.
+     *
+     * @param percentile the percentile
+     * @return milliseconds
+     */
+    public double betweenTokensMillis(double percentile) {
+        return betweenTokensMicros.getValueAtPercentile(percentile) / 1_000.0;
+    }
+
+    /**
+     * Returns a percentile of the time of an order, its key included.
+     *
+     * @param percentile the percentile
+     * @return milliseconds
+     */
+    public double orderMillis(double percentile) {
+        return orderMicros.getValueAtPercentile(percentile) / 1_000.0;
+    }
+
+    /**
+     * Holds the orders against what the upstreams executed.
+     *
+     * @param executions for each order how often it was executed, from all upstreams
+     * @return what does not agree
+     */
+    public Audit audit(Map<String, Long> executions) {
+        long doubled = executions.values().stream().filter(count -> count > 1).count();
+        long falseNotRun = 0;
+        long falseAnswered = 0;
+        long inVain = 0;
+        for (Map.Entry<String, Outcome> entry : orderOutcomes.entrySet()) {
+            boolean ran = executions.containsKey(entry.getKey());
+            switch (entry.getValue()) {
+                case NOT_RUN -> falseNotRun += ran ? 1 : 0;
+                case ANSWERED -> falseAnswered += ran ? 0 : 1;
+                case MAY_HAVE_RUN, NO_VERDICT -> inVain += ran ? 0 : 1;
+                default -> falseAnswered++;
+            }
+        }
+        return new Audit(doubled, falseNotRun, falseAnswered, inVain);
+    }
+
+    /**
+     * Adds the executions that one upstream reports.
+     *
+     * @param total the executions so far
+     * @param reported the upstream's report
+     */
+    public static void addExecutions(Map<String, Long> total, JsonNode reported) {
+        reported.fields()
+                .forEachRemaining(
+                        field -> total.merge(field.getKey(), field.getValue().asLong(), Long::sum));
+    }
+
+    /**
+     * What does not agree between callers and upstreams.
+     *
+     * @param doubled orders executed more than once
+     * @param falseNotRun orders called "not run" that ran
+     * @param falseAnswered orders answered that did not run
+     * @param inVain orders called "may have run" that never ran
+     */
+    public record Audit(long doubled, long falseNotRun, long falseAnswered, long inVain) {}
+
+    private static void record(Histogram histogram, long nanos) {
+        histogram.recordValue(Math.min(HIGHEST_MICROS, Math.max(0, nanos / 1_000)));
+    }
+
+    private static Map<Outcome, AtomicLong> counters() {
+        Map<Outcome, AtomicLong> counters = new EnumMap<>(Outcome.class);
+        for (Outcome outcome : Outcome.values()) {
+            counters.put(outcome, new AtomicLong());
+        }
+        return counters;
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Holds the operators' command line.
+ */
+package org.galenahinge.cli;
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/DaemonMain.java
@@ -0,0 +1,89 @@
+package org.galenahinge.daemon;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
+import org.galenahinge.entry.EntryDaemon;
+import org.galenahinge.log.LogSetup;
+import org.galenahinge.settings.EntrySettings;
+import org.galenahinge.settings.SettingsException;
+import org.galenahinge.settings.SettingsReader;
+import org.galenahinge.settings.SiteSettings;
+import org.galenahinge.settings.SlotSettings;
+import org.galenahinge.slot.SlotDaemon;
+
+/** Starts {@code galenahinged entry} or {@code galenahinged slot}. */
+public final class DaemonMain {
+    private static final int WRONG_SETTINGS = 2;
+    private static final int CANNOT_START = 1;
+    private static final String USAGE = "usage: galenahinged entry|slot [flags]; --help lists the flags";
+
+    private DaemonMain() {}
+
+    /**
+     * Runs a daemon until it is stopped by a signal. Exits with 0 after a graceful stop, 1 when it cannot start and
+     * 2 when a setting is wrong.
+     *
+     * @param arguments the kind of daemon, then its flags
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(Arrays.asList(arguments), System.getenv()));
+    }
+
+    private static int run(List<String> arguments, Map<String, String> environment) {
+        String kind = arguments.isEmpty() ? "" : arguments.get(0);
+        if (!kind.equals("entry") && !kind.equals("slot")) {
+            System.err.println(USAGE);
+            return WRONG_SETTINGS;
+        }
+        List<String> flags = arguments.subList(1, arguments.size());
+        SettingsReader reader = kind.equals("entry") ? EntrySettings.reader() : SlotSettings.reader();
+        if (flags.contains("--help") || flags.contains("-h")) {
+            System.out.print(reader.help());
+            return 0;
+        }
+        try {
+            return kind.equals("entry") ? runEntry(flags, environment) : runSlot(flags, environment);
+        } catch (SettingsException e) {
+            System.err.println("galenahinged " + kind + ": " + e.getMessage());
+            return WRONG_SETTINGS;
+        } catch (IOException e) {
+            System.err.println("galenahinged " + kind + ": " + e.getMessage());
+            return CANNOT_START;
+        }
+    }
+
+    private static int runEntry(List<String> flags, Map<String, String> environment) throws IOException {
+        EntrySettings settings = EntrySettings.read(flags, environment);
+        setUpLog(settings.site());
+        EntryDaemon daemon = EntryDaemon.start(settings);
+        return runUntilStopped(daemon::stop);
+    }
+
+    private static int runSlot(List<String> flags, Map<String, String> environment) throws IOException {
+        SlotSettings settings = SlotSettings.read(flags, environment);
+        setUpLog(settings.site());
+        SlotDaemon daemon = SlotDaemon.start(settings);
+        return runUntilStopped(daemon::stop);
+    }
+
+    private static void setUpLog(SiteSettings site) {
+        LogSetup.apply(site.logFormat(), site.logLevel());
+    }
+
+    private static int runUntilStopped(Supplier<CompletionStage<Void>> stop) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        StopSignals.listen(() -> stop.get().whenComplete((done, error) -> stopped.countDown()));
+        try {
+            stopped.await();
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return CANNOT_START;
+        }
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Starts the daemons and stops them gracefully.
+ */
+package org.galenahinge.daemon;
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Speaks to the one upstream beside a slot process: calls, orders and state.
+ */
+package org.galenahinge.engine;
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/entry/HttpAnswers.java
@@ -0,0 +1,102 @@
+package org.galenahinge.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.Objects;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.galenahinge.request.Answer;
+import org.galenahinge.request.Reason;
+import org.galenahinge.request.Verdict;
+
+/** Turns answers into HTTP responses. Each carries the verdict and the request's identity as headers. */
+final class HttpAnswers {
+    static final String REQUEST_ID = "Galenahinge-Request-Id";
+    static final String VERDICT = "Galenahinge-Verdict";
+    static final String REASON = "Galenahinge-Reason";
+    static final String FINGERPRINT = "Galenahinge-Fingerprint";
+    static final String REPLICA = "Galenahinge-Replica";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ContentType EVENT_STREAM = MediaTypes.TEXT_EVENT_STREAM.toContentType();
+
+    private HttpAnswers() {}
+
+    static HttpResponse of(String requestId, boolean streamed, Answer answer) {
+        Objects.requireNonNull(answer, "answer");
+        if (!(answer.verdict() instanceof Verdict.Answered)) {
+            return refusal(requestId, answer.verdict());
+        }
+        HttpResponse response = HttpResponse.create()
+                .withStatus(answer.status())
+                .addHeader(RawHeader.create(REQUEST_ID, requestId))
+                .addHeader(RawHeader.create(VERDICT, answer.verdict().label()))
+                .addHeader(RawHeader.create(REPLICA, answer.vm()));
+        if (!answer.fingerprint().isEmpty()) {
+            response = response.addHeader(RawHeader.create(FINGERPRINT, answer.fingerprint()));
+        }
+        boolean events = streamed && answer.status() == 200;
+        ContentType type = events ? EVENT_STREAM : ContentTypes.APPLICATION_JSON;
+        return response.withEntity(HttpEntities.createChunked(type, answer.body()));
+    }
+
+    /** A refusal or an unknown outcome, in the shape that callers of model servers know. */
+    static HttpResponse refusal(String requestId, Verdict verdict) {
+        Reason reason = reasonOf(verdict);
+        ObjectNode error = JSON.createObjectNode();
+        error.putObject("error")
+                .put("message", detailOf(verdict))
+                .put("type", verdict.label())
+                .put("code", reason.label());
+        HttpResponse response = json(reason.status(), error)
+                .addHeader(RawHeader.create(REQUEST_ID, requestId))
+                .addHeader(RawHeader.create(VERDICT, verdict.label()))
+                .addHeader(RawHeader.create(REASON, reason.label()));
+        if (verdict instanceof Verdict.NotRun notRun) {
+            double seconds = notRun.retryAfter().toMillis() / 1_000.0;
+            response = response.addHeader(RawHeader.create("Retry-After", Long.toString((long) Math.ceil(seconds))))
+                    .addHeader(RawHeader.create(
+                            "Retry-After-Ms", Long.toString(notRun.retryAfter().toMillis())));
+        }
+        return response;
+    }
+
+    static HttpResponse json(int status, Object document) {
+        try {
+            return HttpResponse.create()
+                    .withStatus(status)
+                    .withEntity(ContentTypes.APPLICATION_JSON, JSON.writeValueAsString(document) + "\n");
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static HttpResponse notFound(String path) {
+        ObjectNode error = JSON.createObjectNode();
+        error.putObject("error")
+                .put("message", "there is nothing at " + path)
+                .put("type", "not-run")
+                .put("code", Reason.UNKNOWN_TARGET.label().toLowerCase(Locale.ROOT));
+        return json(404, error).addHeader(RawHeader.create(VERDICT, "not-run"));
+    }
+
+    private static Reason reasonOf(Verdict verdict) {
+        if (verdict instanceof Verdict.NotRun notRun) {
+            return notRun.reason();
+        }
+        return verdict instanceof Verdict.MayHaveRun mayHaveRun ? mayHaveRun.reason() : Reason.INTERNAL;
+    }
+
+    private static String detailOf(Verdict verdict) {
+        if (verdict instanceof Verdict.NotRun notRun) {
+            return notRun.detail();
+        }
+        return verdict instanceof Verdict.MayHaveRun mayHaveRun ? mayHaveRun.detail() : "";
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
@@ -0,0 +1,476 @@
+package org.galenahinge.entry;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentNavigableMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.galenahinge.concurrent.Controller;
+import org.galenahinge.log.DecisionLog;
+import org.galenahinge.membership.Fleet;
+import org.galenahinge.membership.Vm;
+import org.galenahinge.platform.ConfigurationClient;
+import org.galenahinge.platform.ConfigurationClient.Page;
+import org.galenahinge.platform.ConfigurationClient.Value;
+import org.galenahinge.ticket.Ticket;
+import org.galenahinge.ticket.TicketGroup;
+import org.galenahinge.ticket.TicketResult;
+import org.galenahinge.ticket.TicketState;
+import org.galenahinge.ticket.TicketState.GroupInForce;
+import org.galenahinge.wire.WireLink;
+import org.galenahinge.wire.generated.Frame;
+import org.galenahinge.wire.generated.GroupDigest;
+import org.galenahinge.wire.generated.Peer;
+import org.galenahinge.wire.generated.SlotState;
+import org.galenahinge.wire.generated.TicketContent;
+import org.galenahinge.wire.generated.TicketDelivery;
+import org.galenahinge.wire.generated.TicketDigest;
+import org.galenahinge.wire.generated.TicketRequest;
+import org.jboss.logging.Logger;
+
+/**
+ * Holds the tickets in force at this entry and spreads them. One thread.
+ *
+ * <p>A few entries of each failure domain watch the configuration service. A ticket that is new here is announced to
+ * the linked entries, which ask for it if they lack it, and pushed to the linked slot processes that it concerns.
+ * Comparing a digest with one other entry at a time repairs what was lost.
+ */
+final class TicketController implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(TicketController.class);
+    private static final int RING = 4_096;
+    private static final int WATCHERS_PER_FAILURE_DOMAIN = 2;
+    private static final int REFUSALS_KEPT = 1_000;
+    private static final int TICKETS_REMEMBERED = 20_000;
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final Duration LONGEST_WATCH = Duration.ofSeconds(20);
+    private static final long COMPARE_EVERY_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long LEAST_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long GREATEST_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final long FALLBACK_READ_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private final Vm self;
+    private final ConfigurationClient configuration;
+    private final Supplier<List<WireLink>> entryLinks;
+    private final SlotDirectory slots;
+    private final DecisionLog decisions;
+    private final Runnable changed;
+    private final Random random = new Random();
+    private final Controller<TicketEvent> controller;
+    private final Counter reads;
+    private final Map<Long, String> refusals = new TreeMap<>();
+    private final Map<WireLink, SlotPush> pushes = new HashMap<>();
+    private final ConcurrentNavigableMap<Long, List<String>> history = new ConcurrentSkipListMap<>();
+    private TicketState state = TicketState.empty();
+    private Fleet fleet = Fleet.empty();
+    private long revision;
+    private boolean reading;
+    private long nextReadNanos = System.nanoTime();
+    private long backoffNanos = LEAST_BACKOFF_NANOS;
+    private long nextCompareNanos = System.nanoTime();
+    private volatile TicketState snapshot = TicketState.empty();
+    private volatile Map<Long, String> refusalSnapshot = Map.of();
+    private volatile boolean readOnce;
+    private volatile boolean joinedPeer;
+
+    private TicketController(
+            Vm self,
+            ConfigurationClient configuration,
+            Supplier<List<WireLink>> entryLinks,
+            SlotDirectory slots,
+            DecisionLog decisions,
+            Runnable changed,
+            MetricRegistry metrics) {
+        this.self = self;
+        this.configuration = configuration;
+        this.entryLinks = entryLinks;
+        this.slots = slots;
+        this.decisions = decisions;
+        this.changed = changed;
+        this.reads = metrics.counter("platform.configuration.reads");
+        this.controller = Controller.create("tickets", RING, TICK, this::handle, this::tick);
+    }
+
+    static TicketController create(
+            Vm self,
+            ConfigurationClient configuration,
+            Supplier<List<WireLink>> entryLinks,
+            SlotDirectory slots,
+            DecisionLog decisions,
+            Runnable changed,
+            MetricRegistry metrics) {
+        return new TicketController(
+                Objects.requireNonNull(self, "self"),
+                Objects.requireNonNull(configuration, "configuration"),
+                Objects.requireNonNull(entryLinks, "entryLinks"),
+                Objects.requireNonNull(slots, "slots"),
+                Objects.requireNonNull(decisions, "decisions"),
+                Objects.requireNonNull(changed, "changed"),
+                metrics);
+    }
+
+    boolean offer(TicketEvent event) {
+        return controller.offer(event);
+    }
+
+    TicketState state() {
+        return snapshot;
+    }
+
+    /** Why tickets of a number were refused, for operators. */
+    Optional<String> refusalOf(long number) {
+        return Optional.ofNullable(refusalSnapshot.get(number));
+    }
+
+    /** The groups that a ticket touches, for operators; empty when it was not seen here, or too long ago. */
+    List<String> groupsOf(long number) {
+        return history.getOrDefault(number, List.of());
+    }
+
+    /** Whether the configuration service has been read in full since the start. */
+    boolean hasRead() {
+        return readOnce;
+    }
+
+    /** Whether another entry's state has been joined since the start. */
+    boolean hasJoinedPeer() {
+        return joinedPeer;
+    }
+
+    void begin() {
+        controller.begin();
+    }
+
+    @Override
+    public void close() {
+        controller.close();
+    }
+
+    private void handle(TicketEvent event) {
+        if (event instanceof TicketEvent.Read read) {
+            reading = false;
+            take(read.page());
+        } else if (event instanceof TicketEvent.ReadFailed failed) {
+            reading = false;
+            backOff(failed.detail());
+        } else if (event instanceof TicketEvent.Delivered delivered) {
+            joinedPeer = true;
+            List<String> texts = delivered.delivery().getTicketsList().stream()
+                    .map(content -> content.getJson().toStringUtf8())
+                    .toList();
+            mergeAll(texts, "a peer");
+        } else if (event instanceof TicketEvent.Compared compared) {
+            compare(compared.link(), compared.digest());
+        } else if (event instanceof TicketEvent.Asked asked) {
+            deliver(asked);
+        } else if (event instanceof TicketEvent.SlotReported reported) {
+            push(reported.link(), reported.state());
+        } else if (event instanceof TicketEvent.FleetChanged fleetChanged) {
+            fleet = fleetChanged.fleet();
+            pushAll();
+        } else if (event instanceof TicketEvent.EntryLinked linked) {
+            linked.link().send(digestFrame(state.groupsInForce(), true));
+        }
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        boolean due = isWatcher() || !readOnce || now - nextReadNanos > FALLBACK_READ_NANOS;
+        if (!reading && due && now - nextReadNanos >= 0) {
+            read();
+        }
+        if (now - nextCompareNanos >= 0) {
+            nextCompareNanos = now + COMPARE_EVERY_NANOS;
+            compareWithOne();
+            pushAll();
+        }
+    }
+
+    private boolean isWatcher() {
+        List<Vm> domain = fleet.all(Vm.Kind.ENTRY).stream()
+                .filter(vm -> vm.failureDomain().equals(self.failureDomain()) && !vm.leaving())
+                .toList();
+        List<Vm> first = Fleet.rank(domain, "watchers");
+        return first.stream()
+                .limit(WATCHERS_PER_FAILURE_DOMAIN)
+                .anyMatch(vm -> vm.name().equals(self.name()));
+    }
+
+    private void read() {
+        reading = true;
+        reads.inc();
+        Duration wait = readOnce ? LONGEST_WATCH : Duration.ZERO;
+        configuration
+                .readTickets(revision, wait)
+                .handle((page, error) -> error == null
+                        ? new TicketEvent.Read(page)
+                        : new TicketEvent.ReadFailed(String.valueOf(error.getMessage())))
+                .thenAccept(controller::offer);
+    }
+
+    private void take(Page page) {
+        backoffNanos = LEAST_BACKOFF_NANOS;
+        nextReadNanos = System.nanoTime();
+        if (page.revision() < revision) {
+            LOG.warnf("the configuration service went back from revision %d to %d", revision, page.revision());
+            revision = 0;
+            return;
+        }
+        mergeAll(page.values().stream().map(Value::value).toList(), "the configuration service");
+        revision = page.revision();
+        readOnce = readOnce || !page.more();
+    }
+
+    private void backOff(String detail) {
+        nextReadNanos = System.nanoTime() + (long) (backoffNanos * (0.5 + random.nextDouble()));
+        backoffNanos = Math.min(GREATEST_BACKOFF_NANOS, backoffNanos * 2);
+        LOG.debugf("cannot read the configuration service: %s", detail);
+    }
+
+    private void mergeAll(List<String> texts, String source) {
+        Set<String> touched = new HashSet<>();
+        for (String text : texts) {
+            merge(text, source, touched);
+        }
+        if (touched.isEmpty()) {
+            return;
+        }
+        snapshot = state;
+        changed.run();
+        List<GroupInForce> groups = touched.stream()
+                .flatMap(group ->
+                        state
+                                .ticketOf(group)
+                                .map(ticket -> new GroupInForce(
+                                        ticket, ticket.group(group).orElseThrow()))
+                                .stream())
+                .toList();
+        Frame announcement = digestFrame(groups, false);
+        entryLinks.get().forEach(link -> link.send(announcement));
+        pushAll();
+    }
+
+    private void merge(String text, String source, Set<String> touched) {
+        TicketResult result = Ticket.parse(text);
+        if (result instanceof TicketResult.Invalid invalid) {
+            LOG.warnf("refused a ticket from %s: %s", source, invalid.errors());
+            return;
+        }
+        Ticket ticket = ((TicketResult.Valid) result).ticket();
+        TicketState.Merge merge = state.merge(ticket);
+        remember(ticket);
+        if (merge.outcome() == TicketState.Outcome.NUMBER_TAKEN) {
+            refuse(ticket);
+        }
+        if (merge.state() == state) {
+            return;
+        }
+        state = merge.state();
+        ticket.groups().forEach(group -> touched.add(group.group()));
+        decisions.record("ticket-" + ticket.number(), "ticket", List.of(), "in force", "joined from " + source);
+    }
+
+    private void remember(Ticket ticket) {
+        history.put(
+                ticket.number(),
+                ticket.groups().stream().map(TicketGroup::group).toList());
+        while (history.size() > TICKETS_REMEMBERED) {
+            history.pollFirstEntry();
+        }
+    }
+
+    private void refuse(Ticket ticket) {
+        refusals.put(ticket.number(), "number taken: two tickets carry it with other content");
+        while (refusals.size() > REFUSALS_KEPT) {
+            refusals.remove(refusals.keySet().iterator().next());
+        }
+        refusalSnapshot = Map.copyOf(refusals);
+        LOG.warnf("ticket %d was published twice with other content", ticket.number());
+    }
+
+    private void compareWithOne() {
+        List<WireLink> links = entryLinks.get();
+        if (links.isEmpty()) {
+            return;
+        }
+        TicketDigest root = TicketDigest.newBuilder().setRoot(rootOf(state)).build();
+        links.get(random.nextInt(links.size()))
+                .send(Frame.newBuilder().setTicketDigest(root).build());
+    }
+
+    private void compare(WireLink link, TicketDigest digest) {
+        boolean onlyRoot = digest.getGroupsCount() == 0 && !digest.getFull();
+        if (onlyRoot) {
+            if (digest.getRoot() != rootOf(state)) {
+                link.send(digestFrame(state.groupsInForce(), true));
+            }
+            return;
+        }
+        joinedPeer = joinedPeer || digest.getFull();
+        askForMissing(link, digest);
+        if (digest.getFull()) {
+            deliverMissing(link, digest);
+        }
+    }
+
+    private void askForMissing(WireLink link, TicketDigest digest) {
+        List<String> wanted = new ArrayList<>();
+        for (GroupDigest group : digest.getGroupsList()) {
+            if (isNewer(group, state.ticketOf(group.getGroup()))) {
+                wanted.add(group.getGroup());
+            }
+        }
+        if (!wanted.isEmpty()) {
+            TicketRequest request =
+                    TicketRequest.newBuilder().addAllGroups(wanted).build();
+            link.send(Frame.newBuilder().setTicketRequest(request).build());
+        }
+    }
+
+    private void deliverMissing(WireLink link, TicketDigest digest) {
+        Map<String, GroupDigest> theirs = new HashMap<>();
+        digest.getGroupsList().forEach(group -> theirs.put(group.getGroup(), group));
+        Map<Long, Ticket> missing = new TreeMap<>();
+        for (GroupInForce own : state.groupsInForce()) {
+            if (isOlder(theirs.get(own.content().group()), own.ticket())) {
+                missing.put(own.ticket().number(), own.ticket());
+            }
+        }
+        if (!missing.isEmpty()) {
+            link.send(deliveryFrame(List.copyOf(missing.values()), List.of()));
+        }
+    }
+
+    private void deliver(TicketEvent.Asked asked) {
+        Map<Long, Ticket> wanted = new TreeMap<>();
+        for (String group : asked.request().getTicketRequest().getGroupsList()) {
+            state.ticketOf(group).ifPresent(ticket -> wanted.put(ticket.number(), ticket));
+        }
+        asked.link().send(deliveryFrame(List.copyOf(wanted.values()), List.of()));
+    }
+
+    private void pushAll() {
+        pushes.keySet().removeIf(link -> !link.isOpen());
+        pushes.forEach((link, push) -> push(link, push.state));
+    }
+
+    /** Sends a slot process the tickets that concern it and that it lacks, and the VMs of its group. */
+    private void push(WireLink link, SlotState reported) {
+        SlotPush push = pushes.computeIfAbsent(link, opened -> new SlotPush());
+        push.state = reported;
+        Map<String, GroupDigest> held = new HashMap<>();
+        reported.getGroupsList().forEach(group -> held.put(group.getGroup(), group));
+        Map<Long, Ticket> missing = new TreeMap<>();
+        for (GroupInForce group : state.groupsInForce()) {
+            String name = group.content().group();
+            boolean concerns = held.containsKey(name) || group.content().vms().contains(reported.getVm());
+            if (concerns && isOlder(held.get(name), group.ticket())) {
+                missing.put(group.ticket().number(), group.ticket());
+            }
+        }
+        List<Peer> peers = peersOf(reported.getVm());
+        if (missing.isEmpty() && peers.equals(push.peers)) {
+            return;
+        }
+        if (link.send(deliveryFrame(List.copyOf(missing.values()), peers))) {
+            push.peers = peers;
+        }
+    }
+
+    private List<Peer> peersOf(String vm) {
+        Optional<GroupInForce> group = state.groupOf(vm);
+        if (group.isEmpty()) {
+            return List.of();
+        }
+        return group.get().content().vms().stream()
+                .filter(name -> !slots.isDown(name))
+                .flatMap(name -> fleet.find(name).stream())
+                .map(TicketController::peer)
+                .toList();
+    }
+
+    private static Peer peer(Vm vm) {
+        return Peer.newBuilder()
+                .setVm(vm.name())
+                .setAddress(vm.address())
+                .setWirePort(vm.wirePort())
+                .setRegion(vm.region())
+                .setFailureDomain(vm.failureDomain())
+                .build();
+    }
+
+    private static boolean isNewer(GroupDigest theirs, Optional<Ticket> own) {
+        return own.isEmpty() || order(theirs, own.get()) > 0;
+    }
+
+    private static boolean isOlder(GroupDigest theirs, Ticket own) {
+        return theirs == null || order(theirs, own) < 0;
+    }
+
+    /** Orders as the join does: the higher number first, then the smaller content hash. */
+    private static int order(GroupDigest theirs, Ticket own) {
+        if (theirs.getNumber() != own.number()) {
+            return Long.compare(theirs.getNumber(), own.number());
+        }
+        return own.contentHash().compareTo(theirs.getContentHash().toStringUtf8());
+    }
+
+    private static Frame digestFrame(List<GroupInForce> groups, boolean full) {
+        TicketDigest.Builder digest = TicketDigest.newBuilder().setFull(full);
+        groups.forEach(group -> digest.addGroups(digestOf(group)));
+        return Frame.newBuilder().setTicketDigest(digest).build();
+    }
+
+    static GroupDigest digestOf(GroupInForce group) {
+        return GroupDigest.newBuilder()
+                .setGroup(group.content().group())
+                .setNumber(group.ticket().number())
+                .setContentHash(ByteString.copyFrom(group.ticket().contentHash(), StandardCharsets.US_ASCII))
+                .build();
+    }
+
+    private static Frame deliveryFrame(List<Ticket> tickets, List<Peer> peers) {
+        TicketDelivery.Builder delivery = TicketDelivery.newBuilder().addAllPeers(peers);
+        for (Ticket ticket : tickets) {
+            delivery.addTickets(TicketContent.newBuilder()
+                    .setNumber(ticket.number())
+                    .setJson(ByteString.copyFromUtf8(ticket.json())));
+        }
+        return Frame.newBuilder().setTicketDelivery(delivery).build();
+    }
+
+    private static long rootOf(TicketState state) {
+        long root = 0;
+        for (GroupInForce group : state.groupsInForce()) {
+            String line = group.content().group()
+                    + ' '
+                    + group.ticket().number()
+                    + ' '
+                    + group.ticket().contentHash();
+            root ^= Hashing.murmur3_128()
+                    .hashString(line, StandardCharsets.UTF_8)
+                    .asLong();
+        }
+        return root;
+    }
+
+    /** What was last heard from and sent to a slot process. */
+    private static final class SlotPush {
+        private SlotState state = SlotState.getDefaultInstance();
+        private List<Peer> peers = List.of();
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decides which replica a request goes to. Pure decisions: no clock, no network.
+ */
+package org.galenahinge.routing;
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -0,0 +1,247 @@
+package org.galenahinge.slot;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.galenahinge.concurrent.Controller;
+import org.galenahinge.daemon.ActorRuntime;
+import org.galenahinge.daemon.Incarnation;
+import org.galenahinge.daemon.MetricsHttp;
+import org.galenahinge.engine.EngineClient;
+import org.galenahinge.engine.UpstreamClient;
+import org.galenahinge.limit.Admission;
+import org.galenahinge.log.DecisionLog;
+import org.galenahinge.membership.Vm;
+import org.galenahinge.order.PermitTable;
+import org.galenahinge.platform.HttpReader;
+import org.galenahinge.platform.WeightSourceClient;
+import org.galenahinge.settings.SlotSettings;
+import org.galenahinge.settings.SlotSettings.UpstreamKind;
+import org.galenahinge.ticket.TicketGroup.ServiceWorkload;
+import org.galenahinge.weights.ChunkMemory;
+import org.galenahinge.weights.PullPlan;
+import org.galenahinge.wire.LinkRegistry;
+import org.galenahinge.wire.Peers;
+import org.galenahinge.wire.WireNetwork;
+import org.galenahinge.wire.WireTraffic;
+import org.galenahinge.wire.generated.Hello;
+import org.jboss.logging.Logger;
+
+/**
+ * The process of the system on an upstream VM.
+ *
+ * <pre>
+ * SlotDaemon slot = SlotDaemon.start(settings);
+ * slot.stop().toCompletableFuture().join();
+ * </pre>
+ */
+public final class SlotDaemon {
+    private static final Logger LOG = Logger.getLogger(SlotDaemon.class);
+    private static final int WIRE_THREADS = 1;
+    private static final int MAXIMUM_LINKS = 2_048;
+    private static final int PERMIT_WINDOW = 65_536;
+    private static final long KEPT_ANSWER_BYTES = 8L << 20;
+    private static final int SECRET_BYTES = 32;
+    private static final Duration STATUS_EVERY = Duration.ofMillis(50);
+    private static final Duration NOTICE = Duration.ofMillis(500);
+
+    private final ActorSystem<Void> system;
+    private final WireNetwork network;
+    private final CallController calls;
+    private final TicketController tickets;
+    private final WeightsController weights;
+    private final UploadController uploads;
+    private final Optional<EngineController> engine;
+    private final Controller<Runnable> status;
+    private final SlotStatus slotStatus;
+    private final SlotFrames frames;
+    private volatile Serving service = Serving.CLOSED;
+    private volatile boolean leaving;
+
+    private SlotDaemon(SlotSettings settings, MetricRegistry metrics) {
+        Vm self = settings.site().vm();
+        long incarnation = Incarnation.draw();
+        this.system = ActorRuntime.create("slot");
+        this.network = WireNetwork.create(WIRE_THREADS, new WireTraffic(metrics));
+        DecisionLog decisions = DecisionLog.create(settings.site().decisionLinesPerSecond(), metrics);
+        LinkRegistry links = LinkRegistry.create(MAXIMUM_LINKS);
+        PeerLinks peers = PeerLinks.create(network, self.name(), incarnation, new SlotFrames.Outgoing());
+        ChunkMemory memory = ChunkMemory.create(settings.weightsMemoryBytes());
+        UpstreamClient upstream = UpstreamClient.create(system, settings.upstream());
+        this.calls = CallController.start(
+                Admission.create(settings.maximumConcurrent(), settings.maximumQueued()),
+                PermitTable.create(self.name(), incarnation, secret(), PERMIT_WINDOW, KEPT_ANSWER_BYTES),
+                (reply, call, fingerprint, ending) ->
+                        UpstreamCall.start(system, upstream, reply, call, fingerprint, ending::ended),
+                metrics);
+        this.engine = startEngine(settings, memory, decisions, peers);
+        this.weights = startWeights(settings, memory, decisions, peers, metrics);
+        this.uploads = UploadController.start(memory, settings.vmLinkBytesPerSecond(), metrics);
+        this.tickets = TicketController.start(self.name(), decisions, assignment -> assign(settings, assignment));
+        Supplier<Serving> serving = () -> engine.map(EngineController::serving).orElseGet(this::servedService);
+        this.slotStatus = new SlotStatus(
+                self,
+                incarnation,
+                links,
+                tickets,
+                weights,
+                serving,
+                () -> engine.map(EngineController::condition).orElse("plain service"),
+                calls::load,
+                () -> leaving,
+                () -> new SlotStatus.Traffic(
+                        metrics.counter("weights.origin.bytes").getCount(),
+                        metrics.counter("weights.peer.bytes").getCount()));
+        this.status = Controller.start("status", 64, STATUS_EVERY, Runnable::run, slotStatus::sendIfChanged);
+        Hello hello = Hello.newBuilder()
+                .setVm(self.name())
+                .setIncarnation(incarnation)
+                .setKind(Peers.SLOT)
+                .build();
+        this.frames = new SlotFrames(hello, links, calls, tickets, weights, uploads, slotStatus);
+    }
+
+    /**
+     * Starts the process.
+     *
+     * @param settings the checked settings
+     * @return the running process
+     * @throws IOException when a port is in use
+     */
+    public static SlotDaemon start(SlotSettings settings) throws IOException {
+        Objects.requireNonNull(settings, "settings");
+        MetricRegistry metrics = new MetricRegistry();
+        SlotDaemon daemon = new SlotDaemon(settings, metrics);
+        try {
+            daemon.listen(settings.site().vm(), new MetricsHttp(metrics, daemon::isReady));
+        } catch (IOException e) {
+            daemon.close();
+            throw e;
+        }
+        LOG.infof(
+                "slot %s listens on %s",
+                settings.site().vm().name(), settings.site().vm().wireAddress());
+        return daemon;
+    }
+
+    /**
+     * Tells whether the upstream may be given calls.
+     *
+     * @return whether it is ready
+     */
+    public boolean isReady() {
+        return slotStatus.state().getReady();
+    }
+
+    /**
+     * Stops gracefully: tells the entries, takes no new work, ends every call in progress, then closes.
+     *
+     * @return done when nothing is left
+     */
+    public CompletionStage<Void> stop() {
+        leaving = true;
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        CompletableFuture.delayedExecutor(NOTICE.toMillis(), TimeUnit.MILLISECONDS)
+                .execute(() -> calls.offer(new CallEvent.Drain(() -> drained.complete(null))));
+        return drained.thenRunAsync(this::close);
+    }
+
+    private void listen(Vm self, MetricsHttp metricsHttp) throws IOException {
+        network.listen(self.wireAddress(), frames);
+        try {
+            Http.get(system)
+                    .newServerAt(self.address(), self.httpPort())
+                    .bindSync(request -> metricsHttp
+                            .answer(request)
+                            .orElseGet(() -> HttpResponse.create().withStatus(404)))
+                    .toCompletableFuture()
+                    .join();
+        } catch (RuntimeException e) {
+            throw new IOException("cannot listen on " + self.address() + ":" + self.httpPort(), e);
+        }
+    }
+
+    private void close() {
+        status.close();
+        tickets.close();
+        engine.ifPresent(EngineController::close);
+        weights.close();
+        uploads.close();
+        calls.close();
+        network.close();
+        system.terminate();
+    }
+
+    private Optional<EngineController> startEngine(
+            SlotSettings settings, ChunkMemory memory, DecisionLog decisions, PeerLinks peers) {
+        if (settings.upstreamKind() != UpstreamKind.MODEL) {
+            return Optional.empty();
+        }
+        return Optional.of(EngineController.start(
+                EngineClient.create(system, settings.upstream()),
+                memory,
+                decisions,
+                () -> calls.load().running(),
+                serving -> calls.offer(new CallEvent.ServingChanged(serving)),
+                ReloadTurn.create(settings.site().vm().name(), peers)));
+    }
+
+    private WeightsController startWeights(
+            SlotSettings settings, ChunkMemory memory, DecisionLog decisions, PeerLinks peers, MetricRegistry metrics) {
+        HttpReader reader = HttpReader.create(system);
+        return WeightsController.start(
+                settings.site().vm(),
+                memory,
+                PullPlan.Limits.forOriginCopies(settings.originCopies()),
+                settings.vmLinkBytesPerSecond(),
+                controller -> new PeerPulls(
+                        controller,
+                        peers,
+                        WeightSourceClient.create(reader, settings.store()),
+                        WeightSourceClient.create(reader, settings.origin()),
+                        settings.originLinkBytesPerSecond()),
+                decisions,
+                manifest ->
+                        engine.ifPresent(controller -> controller.offer(new EngineController.Event.Complete(manifest))),
+                metrics);
+    }
+
+    private void assign(SlotSettings settings, Optional<Assignment> assignment) {
+        if (engine.isPresent()) {
+            weights.offer(new WeightsEvent.Wanted(
+                    assignment.filter(assigned -> assigned.model().isPresent())));
+            engine.get().offer(new EngineController.Event.Wanted(assignment));
+            return;
+        }
+        service = assignment
+                .flatMap(Assignment::service)
+                .map(workload -> Serving.service(workload.service(), isRepeatable(settings, workload)))
+                .orElse(Serving.CLOSED);
+        calls.offer(new CallEvent.ServingChanged(service));
+    }
+
+    /** Both the operators' ticket and the settings of the VM must allow repeats. */
+    private static boolean isRepeatable(SlotSettings settings, ServiceWorkload workload) {
+        return settings.callsRepeatable() && workload.repeatable();
+    }
+
+    private Serving servedService() {
+        return service;
+    }
+
+    private static byte[] secret() {
+        byte[] secret = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(secret);
+        return secret;
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/slot/UploadController.java
@@ -0,0 +1,135 @@
+package org.galenahinge.slot;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.io.BaseEncoding;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.galenahinge.concurrent.Controller;
+import org.galenahinge.limit.TokenBucket;
+import org.galenahinge.weights.ChunkMemory;
+import org.galenahinge.wire.WireLink;
+import org.galenahinge.wire.generated.ChunkAnswer;
+import org.galenahinge.wire.generated.ChunkRequest;
+import org.galenahinge.wire.generated.Frame;
+
+/**
+ * Sends chunks to other VMs at the rate of the own link's budget. One thread.
+ *
+ * <p>Bounds: requests that wait for the link and patient ones that wait for the chunk; past either the answer is "not
+ * found" and the peer asks elsewhere.
+ */
+final class UploadController implements AutoCloseable {
+    private static final int RING = 1_024;
+    private static final int MAXIMUM_READY = 64;
+    private static final int MAXIMUM_PATIENT = 1_024;
+    private static final Duration TICK = Duration.ofMillis(5);
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    private static final double BURST_SECONDS = 0.02;
+    private static final BaseEncoding HEXADECIMAL = BaseEncoding.base16().lowerCase();
+
+    private final ChunkMemory memory;
+    private final Controller<Ask> controller;
+    private final Deque<Ask> ready = new ArrayDeque<>();
+    private final List<Ask> patient = new ArrayList<>();
+    private final Counter sentBytes;
+    private TokenBucket link;
+
+    private UploadController(ChunkMemory memory, long bytesPerSecond, MetricRegistry metrics) {
+        this.memory = memory;
+        this.link = TokenBucket.full(
+                (double) bytesPerSecond, Math.max(1, bytesPerSecond * BURST_SECONDS), System.nanoTime());
+        this.sentBytes = metrics.counter("weights.sent.bytes");
+        this.controller = Controller.start("uploads", RING, TICK, this::take, this::tick);
+    }
+
+    static UploadController start(ChunkMemory memory, long bytesPerSecond, MetricRegistry metrics) {
+        return new UploadController(Objects.requireNonNull(memory, "memory"), bytesPerSecond, metrics);
+    }
+
+    void ask(WireLink peer, long correlation, ChunkRequest request) {
+        Ask ask = new Ask(
+                peer,
+                correlation,
+                HEXADECIMAL.encode(request.getHash().toByteArray()),
+                request.getPatient(),
+                System.nanoTime() + PATIENCE.toNanos());
+        if (!controller.offer(ask)) {
+            refuse(ask);
+        }
+    }
+
+    @Override
+    public void close() {
+        controller.close();
+    }
+
+    private void take(Ask ask) {
+        if (memory.holds(ask.hash())) {
+            enqueue(ask);
+        } else if (ask.isPatient() && patient.size() < MAXIMUM_PATIENT) {
+            patient.add(ask);
+        } else {
+            refuse(ask);
+        }
+        sendWhatFits();
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        for (Ask ask : List.copyOf(patient)) {
+            if (memory.holds(ask.hash())) {
+                patient.remove(ask);
+                enqueue(ask);
+            } else if (now - ask.untilNanos() > 0 || !ask.peer().isOpen()) {
+                patient.remove(ask);
+                refuse(ask);
+            }
+        }
+        sendWhatFits();
+    }
+
+    private void enqueue(Ask ask) {
+        if (ready.size() >= MAXIMUM_READY) {
+            refuse(ask);
+            return;
+        }
+        ready.add(ask);
+    }
+
+    private void sendWhatFits() {
+        while (!ready.isEmpty() && link.hasAny(System.nanoTime())) {
+            send(ready.remove());
+        }
+    }
+
+    private void send(Ask ask) {
+        Optional<byte[]> content = memory.find(ask.hash());
+        if (content.isEmpty() || !ask.peer().isOpen()) {
+            refuse(ask);
+            return;
+        }
+        byte[] bytes = content.get();
+        link = link.spend(bytes.length, System.nanoTime());
+        sentBytes.inc(bytes.length);
+        reply(ask, ChunkAnswer.newBuilder().setFound(true).setContent(UnsafeByteOperations.unsafeWrap(bytes)));
+    }
+
+    private static void refuse(Ask ask) {
+        reply(ask, ChunkAnswer.newBuilder());
+    }
+
+    private static void reply(Ask ask, ChunkAnswer.Builder answer) {
+        ByteString hash = ByteString.copyFrom(HEXADECIMAL.decode(ask.hash()));
+        ask.peer().reply(ask.correlation(), Frame.newBuilder().setChunkAnswer(answer.setHash(hash)));
+    }
+
+    private record Ask(WireLink peer, long correlation, String hash, boolean isPatient, long untilNanos) {}
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/slot/WeightsEvent.java
@@ -0,0 +1,29 @@
+package org.galenahinge.slot;
+
+import java.util.BitSet;
+import java.util.Optional;
+import org.galenahinge.weights.PullPlan.Pull;
+import org.galenahinge.weights.WeightsManifest;
+import org.galenahinge.wire.WireLink;
+
+/** What the weights controller hears. */
+sealed interface WeightsEvent {
+    /** The tickets in force say something new about this VM. */
+    record Wanted(Optional<Assignment> assignment) implements WeightsEvent {}
+
+    /** The manifests of the wanted weights were read, or could not be. */
+    record ManifestRead(String weightsKey, Optional<WeightsManifest> manifest) implements WeightsEvent {}
+
+    /** A neighbour says what it holds. */
+    record Possessed(String vm, String weightsKey, BitSet chunks) implements WeightsEvent {}
+
+    /** The link to a neighbour broke. */
+    record NeighbourLost(String vm, String weightsKey) implements WeightsEvent {}
+
+    /** A pull ended, with the chunk's content or without. */
+    record PullEnded(String weightsKey, Pull pull, Optional<byte[]> content, boolean reachable)
+            implements WeightsEvent {}
+
+    /** A peer wants to hear what this VM holds. */
+    record Followed(WireLink peer, long correlation, String weightsKey) implements WeightsEvent {}
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/wire/WireNetwork.java
@@ -0,0 +1,218 @@
+package org.galenahinge.wire;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.MessageToByteEncoder;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import java.io.IOException;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.galenahinge.wire.generated.Frame;
+import org.jboss.logging.Logger;
+
+/**
+ * Listens for links and connects them.
+ *
+ * <p>A listening port is bound exclusively, so a second process with the same settings fails at start.
+ */
+public final class WireNetwork implements AutoCloseable {
+    /** The largest frame, in bytes. A larger one closes the link that it came on. */
+    public static final int MAXIMUM_FRAME_BYTES = 8 << 20;
+    /** The most bytes that wait to be sent on one link. */
+    public static final int WRITE_BUFFER_BYTES = 16 << 20;
+
+    private static final Logger LOG = Logger.getLogger(WireNetwork.class);
+    private static final int LENGTH_BYTES = 4;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
+    private static final int ACCEPT_BACKLOG = 1_024;
+
+    private final EventLoopGroup group;
+    private final WireTraffic traffic;
+
+    private WireNetwork(int threads, WireTraffic traffic) {
+        this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this.traffic = traffic;
+    }
+
+    /**
+     * Creates a network.
+     *
+     * @param threads the number of threads that serve all links
+     * @param traffic counts the bytes
+     * @return the network, with no link yet
+     */
+    public static WireNetwork create(int threads, WireTraffic traffic) {
+        return new WireNetwork(threads, Objects.requireNonNull(traffic, "traffic"));
+    }
+
+    /**
+     * Listens for links.
+     *
+     * @param address where to listen
+     * @param handler handles the links and their frames
+     * @throws IOException when the port is in use
+     */
+    public void listen(WireAddress address, WireHandler handler) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .childHandler(new LinkInitializer(handler, null));
+        var binding = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException(
+                    "cannot listen on " + address + ": " + binding.cause().getMessage(), binding.cause());
+        }
+    }
+
+    /**
+     * Connects a link.
+     *
+     * @param address where the peer listens
+     * @param handler handles the link and its frames
+     * @return the link, or the error that kept it from coming up
+     */
+    public CompletionStage<WireLink> connect(WireAddress address, WireHandler handler) {
+        CompletableFuture<WireLink> connected = new CompletableFuture<>();
+        Bootstrap bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .handler(new LinkInitializer(handler, connected));
+        bootstrap.connect(address.host(), address.port()).addListener(done -> {
+            if (!done.isSuccess()) {
+                connected.completeExceptionally(done.cause());
+            }
+        });
+        return connected;
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private static WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(WRITE_BUFFER_BYTES / 2, WRITE_BUFFER_BYTES);
+    }
+
+    private final class LinkInitializer extends ChannelInitializer<SocketChannel> {
+        private final WireHandler handler;
+        private final CompletableFuture<WireLink> connected;
+
+        LinkInitializer(WireHandler handler, CompletableFuture<WireLink> connected) {
+            this.handler = handler;
+            this.connected = connected;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new LengthFieldBasedFrameDecoder(MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                    .addLast(new FrameDecoder())
+                    .addLast(new FrameEncoder())
+                    .addLast(new LinkHandler(new WireLink(channel, traffic), handler, connected, traffic));
+        }
+    }
+
+    private static final class FrameDecoder extends MessageToMessageDecoder<ByteBuf> {
+        FrameDecoder() {
+            super(ByteBuf.class);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out)
+                throws InvalidProtocolBufferException {
+            out.add(Frame.parseFrom(bytes.nioBuffer()));
+        }
+    }
+
+    private static final class FrameEncoder extends MessageToByteEncoder<Frame> {
+        FrameEncoder() {
+            super(Frame.class);
+        }
+
+        @Override
+        protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf out) throws IOException {
+            int size = frame.getSerializedSize();
+            out.ensureWritable(LENGTH_BYTES + size);
+            out.writeInt(size);
+            frame.writeTo(new ByteBufOutputStream(out));
+        }
+    }
+
+    private static final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
+        private final WireLink link;
+        private final WireHandler handler;
+        private final CompletableFuture<WireLink> connected;
+        private final WireTraffic traffic;
+
+        LinkHandler(WireLink link, WireHandler handler, CompletableFuture<WireLink> connected, WireTraffic traffic) {
+            super(Frame.class);
+            this.link = link;
+            this.handler = handler;
+            this.connected = connected;
+            this.traffic = traffic;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            handler.opened(link);
+            if (connected != null) {
+                connected.complete(link);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            traffic.received(frame);
+            if (!frame.getReply()) {
+                handler.received(link, frame);
+            } else if (!link.deliverAnswer(frame)) {
+                traffic.lateAnswer();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            link.loseAll();
+            handler.closed(link);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException) || cause instanceof InvalidProtocolBufferException) {
+                traffic.malformedFrame();
+                LOG.warnf("closing %s: %s", link, cause.getMessage());
+            }
+            Channel channel = context.channel();
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/galenahinge/standins/DraftText.java
@@ -0,0 +1,43 @@
+package org.galenahinge.standins;
+
+import java.nio.charset.StandardCharsets;
+
+/** Says what a draft must be, so that a caller can tell a whole answer to its own request from any other. */
+public final class DraftText {
+    private static final String[] WORDS = {
+        "board", "border", "bone", "horn", "shell", "motif", "cedar", "brass", "verse", "toast", "card", "ribbon"
+    };
+
+    private DraftText() {}
+
+    /**
+     * Returns one token of the draft for a prompt.
+     *
+     * @param prompt the prompt: the contents of all messages, joined by new lines
+     * @param index the token's position, from 0
+     * @return the token, with a space behind it
+     */
+    public static String token(String prompt, int index) {
+        long hash = 7;
+        for (byte character : prompt.getBytes(StandardCharsets.UTF_8)) {
+            hash = hash * 31 + character;
+        }
+        long mixed = (hash + index * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+        return WORDS[(int) Math.floorMod(mixed >>> 20, (long) WORDS.length)] + Long.toHexString(mixed >>> 52) + " ";
+    }
+
+    /**
+     * Returns the whole draft for a prompt.
+     *
+     * @param prompt the prompt
+     * @param tokens how many tokens it has
+     * @return the text
+     */
+    public static String whole(String prompt, int tokens) {
+        StringBuilder text = new StringBuilder();
+        for (int index = 0; index < tokens; index++) {
+            text.append(token(prompt, index));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/galenahinge/standins/ServiceStandIn.java
@@ -0,0 +1,52 @@
+package org.galenahinge.standins;
+
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/** Stands in for a plain service whose calls may not be repeated: it counts how often it executes each order. */
+public final class ServiceStandIn implements HttpStandIn.Handler {
+    private final ActorSystem<?> system;
+    private final long workMillis;
+    private final Map<String, AtomicLong> executions = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a service.
+     *
+     * @param system runs its streams
+     * @param workMillis how long an execution takes, in milliseconds
+     */
+    public ServiceStandIn(ActorSystem<?> system, long workMillis) {
+        this.system = system;
+        this.workMillis = workMillis;
+    }
+
+    @Override
+    public CompletionStage<HttpResponse> handle(HttpRequest request) {
+        String path = request.getUri().path();
+        if (path.equals("/executions")) {
+            return HttpStandIn.now(HttpStandIn.json(200, executions));
+        }
+        String requestId = HttpStandIn.header(request, "x-request-id").orElse("");
+        return HttpStandIn.body(system, request).thenCompose(body -> execute(path, requestId, body));
+    }
+
+    private CompletionStage<HttpResponse> execute(String path, String requestId, byte[] body) {
+        String order = HttpStandIn.read(body).path("order").asText(requestId);
+        long count = executions.computeIfAbsent(order, name -> new AtomicLong()).incrementAndGet();
+        if (count > 1) {
+            System.err.println("VIOLATION: order " + order + " was executed " + count + " times");
+        }
+        Confirmation confirmation = new Confirmation(order, path, count);
+        return HttpStandIn.later(
+                workMillis,
+                () -> HttpStandIn.json(200, confirmation).addHeader(RawHeader.create("x-request-id", requestId)));
+    }
+
+    private record Confirmation(String order, String path, long execution) {}
+}
