Serve and call HTTP in slot processes through Netty instead of Pekko HTTP

Cause: an idle slot process held 127 MB resident; the bound is 96 MB. Native memory tracking put 35 MB of it on class metadata and 11 MB on symbols, most of them of Scala and Pekko, and 20 MB on the heap that they fill.

Ruled out: a smaller heap and code cache (126 MB), interpreting only (120 MB), and a class data archive made at exit (117 MB).

Change: the http package sends single requests and serves metrics through Netty's HTTP codec, which the links load anyway; the slot process no longer starts an actor system. Each request has a connection of its own, so 'no connection' still means 'never handed over'. Callers are still served by Pekko HTTP in the entry.

--- a/galenahinge/src/main/java/org/galenahinge/daemon/MetricsHttp.java
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/MetricsHttp.java
@@ -11,9 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.galenahinge.http.HttpDocument;
 
 /** Answers what every daemon is asked over HTTP: metrics, whether it lives, and whether it is ready. */
 public final class MetricsHttp {
@@ -38,20 +36,20 @@
     /**
      * Answers a request if it is one of these.
      *
-     * @param request the request
+     * @param path the path asked for
      * @return the answer, or empty when the path is another
      */
-    public Optional<HttpResponse> answer(HttpRequest request) {
-        return switch (request.getUri().path()) {
+    public Optional<HttpDocument> answer(String path) {
+        return switch (path) {
             case "/health" -> Optional.of(text(200, "alive"));
             case "/ready" -> Optional.of(ready.getAsBoolean() ? text(200, "ready") : text(503, "not ready"));
-            case "/metrics" -> Optional.of(HttpResponse.create().withEntity(ContentTypes.APPLICATION_JSON, render()));
+            case "/metrics" -> Optional.of(new HttpDocument(200, "application/json", render()));
             default -> Optional.empty();
         };
     }
 
-    private static HttpResponse text(int status, String body) {
-        return HttpResponse.create().withStatus(status).withEntity(ContentTypes.TEXT_PLAIN_UTF8, body + "\n");
+    private static HttpDocument text(int status, String body) {
+        return new HttpDocument(status, "text/plain; charset=utf-8", body + "\n");
     }
 
     private String render() {
--- a/galenahinge/src/main/java/org/galenahinge/engine/EngineClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/engine/EngineClient.java
@@ -2,29 +2,24 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.RequestEntity;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.util.ByteString;
+import org.galenahinge.http.Exchange;
+import org.galenahinge.http.WholeAnswer;
 import org.galenahinge.ticket.TicketGroup.Role;
 import org.galenahinge.weights.ChunkMemory;
 import org.galenahinge.weights.Manifest.Chunk;
 import org.galenahinge.weights.WeightsManifest;
+import org.galenahinge.wire.NetworkThreads;
 
 /** Reads a model engine's state and gives it orders. */
 public final class EngineClient {
@@ -32,24 +27,25 @@
     private static final Duration STATE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration LOAD_TIMEOUT = Duration.ofMinutes(10);
     private static final int MAXIMUM_STATE_BYTES = 64 << 10;
+    private static final int OK = 200;
 
-    private final ActorSystem<?> system;
-    private final UpstreamClient client;
+    private final NetworkThreads threads;
+    private final URI engine;
 
-    private EngineClient(ActorSystem<?> system, UpstreamClient client) {
-        this.system = system;
-        this.client = client;
+    private EngineClient(NetworkThreads threads, URI engine) {
+        this.threads = threads;
+        this.engine = engine;
     }
 
     /**
      * Creates a client.
      *
-     * @param system runs the connections
+     * @param threads the threads that serve the connections
      * @param engine where the engine listens
      * @return the client
      */
-    public static EngineClient create(ActorSystem<?> system, URI engine) {
-        return new EngineClient(system, UpstreamClient.create(system, engine));
+    public static EngineClient create(NetworkThreads threads, URI engine) {
+        return new EngineClient(Objects.requireNonNull(threads, "threads"), Objects.requireNonNull(engine, "engine"));
     }
 
     /**
@@ -58,8 +54,7 @@
      * @return the state, or empty when it could not be read
      */
     public CompletionStage<Optional<EngineState>> state() {
-        return read(HttpRequest.GET("/engine/state"), STATE_TIMEOUT)
-                .thenApply(body -> body.flatMap(EngineClient::parse));
+        return ask(Exchange.Request.get("/engine/state"), STATE_TIMEOUT);
     }
 
     /**
@@ -73,55 +68,42 @@
      */
     public CompletionStage<Optional<EngineState>> load(
             WeightsManifest manifest, ChunkMemory memory, Role role, long fencingNumber) {
-        HttpRequest request = HttpRequest.PUT("/engine/weights")
-                .addHeader(RawHeader.create("fencing-number", Long.toString(fencingNumber)))
-                .addHeader(RawHeader.create("weights-key", manifest.key()))
-                .addHeader(RawHeader.create("weights-fingerprint", manifest.fingerprint()))
-                .addHeader(RawHeader.create("engine-role", role.name().toLowerCase(Locale.ROOT)))
-                .withEntity(image(manifest, memory));
-        return read(request, LOAD_TIMEOUT).thenApply(body -> body.flatMap(EngineClient::parse));
+        Map<String, String> headers = Map.of(
+                "fencing-number",
+                Long.toString(fencingNumber),
+                "weights-key",
+                manifest.key(),
+                "weights-fingerprint",
+                manifest.fingerprint(),
+                "engine-role",
+                role.name().toLowerCase(Locale.ROOT));
+        Exchange.Request request = new Exchange.Request("PUT", "/engine/weights", headers, image(manifest, memory));
+        return ask(request, LOAD_TIMEOUT);
     }
 
     /** The image is one line of JSON with the chunks in order, then their contents. */
-    private static RequestEntity image(WeightsManifest manifest, ChunkMemory memory) {
-        byte[] line = manifestLine(manifest);
+    private static List<byte[]> image(WeightsManifest manifest, ChunkMemory memory) {
         List<byte[]> parts = new ArrayList<>();
-        parts.add(line);
+        parts.add(manifestLine(manifest));
         for (Chunk chunk : manifest.sequence()) {
             parts.add(memory.find(chunk.hash())
                     .orElseThrow(() -> new IllegalStateException("chunk " + chunk.hash() + " is missing")));
         }
-        return HttpEntities.create(
-                ContentTypes.APPLICATION_OCTET_STREAM,
-                line.length + manifest.totalBytes(),
-                Source.from(parts).map(ByteString::fromArrayUnsafe));
+        return parts;
     }
 
     private static byte[] manifestLine(WeightsManifest manifest) {
         try {
             return (JSON.writeValueAsString(manifest.sequence()) + "\n").getBytes(StandardCharsets.UTF_8);
         } catch (IOException e) {
-            throw new CompletionException(e);
+            throw new UncheckedIOException(e);
         }
     }
 
-    private CompletionStage<Optional<byte[]>> read(HttpRequest request, Duration timeout) {
-        UpstreamClient.Exchange exchange = client.send(request, timeout);
-        return exchange.outcome()
-                .thenCompose(outcome -> outcome instanceof UpstreamClient.Outcome.Answered answered
-                        ? body(answered.response(), timeout)
-                        : CompletableFuture.completedFuture(Optional.<byte[]>empty()))
-                .whenComplete((body, error) -> exchange.close());
-    }
-
-    private CompletionStage<Optional<byte[]>> body(HttpResponse response, Duration timeout) {
-        if (!response.status().isSuccess()) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-        return response.entity()
-                .toStrict(timeout.toMillis(), MAXIMUM_STATE_BYTES, system)
-                .handle((entity, error) -> Optional.ofNullable(entity)
-                        .map(strict -> strict.getData().toArrayUnsafe()));
+    private CompletionStage<Optional<EngineState>> ask(Exchange.Request request, Duration timeout) {
+        return WholeAnswer.ask(threads, engine, request, timeout, MAXIMUM_STATE_BYTES)
+                .handle((answer, error) ->
+                        error == null && answer.status() == OK ? parse(answer.body()) : Optional.<EngineState>empty());
     }
 
     private static Optional<EngineState> parse(byte[] bytes) {
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -33,6 +33,7 @@
 import org.galenahinge.request.Verdict;
 import org.galenahinge.settings.EntrySettings;
 import org.galenahinge.wire.LinkRegistry;
+import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.Peers;
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.WireNetwork;
@@ -54,7 +55,7 @@
  */
 public final class EntryDaemon {
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
-    private static final int WIRE_THREADS = 2;
+    private static final int NETWORK_THREADS = 2;
     private static final int MAXIMUM_LINKS = 4_096;
     private static final int FULL_WEIGHT = 100;
     private static final Duration JOIN_PATIENCE = Duration.ofSeconds(5);
@@ -65,6 +66,7 @@
     private final long incarnation = Incarnation.draw();
     private final long startedNanos = System.nanoTime();
     private final ActorSystem<Void> system;
+    private final NetworkThreads threads;
     private final WireNetwork network;
     private final LinkRegistry links = LinkRegistry.create(MAXIMUM_LINKS);
     private final EntryFrames frames;
@@ -85,9 +87,10 @@
         this.settings = settings;
         this.self = settings.site().vm();
         this.system = ActorRuntime.create("entry");
-        this.network = WireNetwork.create(WIRE_THREADS, new WireTraffic(metrics));
+        this.threads = NetworkThreads.start(NETWORK_THREADS);
+        this.network = WireNetwork.create(threads, new WireTraffic(metrics));
         DecisionLog decisions = DecisionLog.create(settings.site().decisionLinesPerSecond(), metrics);
-        HttpReader reader = HttpReader.create(system);
+        HttpReader reader = HttpReader.create(threads);
         this.tickets = TicketController.create(
                 self,
                 ConfigurationClient.create(reader, settings.configurationService()),
@@ -202,7 +205,9 @@
     private CompletionStage<HttpResponse> answer(HttpRequest request) {
         return callers.answer(request)
                 .or(() -> operators.answer(request))
-                .or(() -> metricsHttp.answer(request).map(CompletableFuture::completedFuture))
+                .or(() -> metricsHttp
+                        .answer(request.getUri().path())
+                        .map(document -> CompletableFuture.completedFuture(HttpAnswers.of(document))))
                 .orElseGet(() -> {
                     request.discardEntityBytes(system);
                     return CompletableFuture.completedFuture(
@@ -306,7 +311,7 @@
     }
 
     private void close() {
-        Stream.<AutoCloseable>of(fleet, keeper, tickets, routing, network).forEach(EntryDaemon::closeQuietly);
+        Stream.<AutoCloseable>of(fleet, keeper, tickets, routing, threads).forEach(EntryDaemon::closeQuietly);
         system.terminate();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/entry/HttpAnswers.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/HttpAnswers.java
@@ -11,6 +11,7 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.galenahinge.http.HttpDocument;
 import org.galenahinge.request.Answer;
 import org.galenahinge.request.Reason;
 import org.galenahinge.request.Verdict;
@@ -67,6 +68,13 @@
         return response;
     }
 
+    static HttpResponse of(HttpDocument document) {
+        ContentType.NonBinary type = document.contentType().startsWith("text/plain")
+                ? ContentTypes.TEXT_PLAIN_UTF8
+                : ContentTypes.APPLICATION_JSON;
+        return HttpResponse.create().withStatus(document.status()).withEntity(type, document.body());
+    }
+
     static HttpResponse json(int status, Object document) {
         try {
             return HttpResponse.create()
--- a/galenahinge/src/main/java/org/galenahinge/platform/HttpReader.java
+++ b/galenahinge/src/main/java/org/galenahinge/platform/HttpReader.java
@@ -3,31 +3,29 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.galenahinge.http.Exchange;
+import org.galenahinge.http.WholeAnswer;
+import org.galenahinge.wire.NetworkThreads;
 
 /** Reads bounded documents over HTTP. Never writes. */
 public final class HttpReader {
-    private final ActorSystem<?> system;
+    private static final int OK = 200;
 
-    private HttpReader(ActorSystem<?> system) {
-        this.system = system;
+    private final NetworkThreads threads;
+
+    private HttpReader(NetworkThreads threads) {
+        this.threads = threads;
     }
 
     /**
      * Creates a reader.
      *
-     * @param system runs the connections
+     * @param threads the threads that serve the connections
      * @return the reader
      */
-    public static HttpReader create(ActorSystem<?> system) {
-        return new HttpReader(Objects.requireNonNull(system, "system"));
+    public static HttpReader create(NetworkThreads threads) {
+        return new HttpReader(Objects.requireNonNull(threads, "threads"));
     }
 
     /**
@@ -40,23 +38,14 @@
      */
     public CompletionStage<byte[]> get(URI uri, Duration timeout, long maximumBytes) {
         Objects.requireNonNull(uri, "uri");
-        CompletableFuture<byte[]> reading = Http.get(system)
-                .singleRequest(HttpRequest.GET(uri.toString()))
-                .thenCompose(response -> readBody(uri, response, timeout, maximumBytes))
-                .toCompletableFuture();
-        return reading.orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private CompletionStage<byte[]> readBody(URI uri, HttpResponse response, Duration timeout, long maximumBytes) {
-        if (!response.status().equals(StatusCodes.OK)) {
-            response.discardEntityBytes(system);
-            return CompletableFuture.failedFuture(
-                    new ReadException(uri + " answered " + response.status().intValue()));
-        }
-        return response.entity()
-                .withSizeLimit(maximumBytes)
-                .toStrict(timeout.toMillis(), maximumBytes, system)
-                .thenApply(entity -> entity.getData().toArrayUnsafe());
+        String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
+        Exchange.Request request = Exchange.Request.get(uri.getRawPath() + query);
+        return WholeAnswer.ask(threads, uri, request, timeout, maximumBytes).thenApply(answer -> {
+            if (answer.status() != OK) {
+                throw new ReadException(uri + " answered " + answer.status());
+            }
+            return answer.body();
+        });
     }
 
     /** Says that a document could not be read. */
--- a/galenahinge/src/main/java/org/galenahinge/slot/CallController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/CallController.java
@@ -258,7 +258,7 @@
         if (verdict instanceof Verdict.NotRun) {
             permits.withdrawn(permit);
         } else if (verdict instanceof Verdict.Answered) {
-            permits.answered(permit, answer, answer.body().length());
+            permits.answered(permit, answer, answer.body().length);
         } else {
             permits.lost(permit);
         }
--- a/galenahinge/src/main/java/org/galenahinge/slot/CallReply.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/CallReply.java
@@ -1,7 +1,6 @@
 package org.galenahinge.slot;
 
 import com.google.protobuf.UnsafeByteOperations;
-import org.apache.pekko.util.ByteString;
 import org.galenahinge.request.Verdict;
 import org.galenahinge.wire.Verdicts;
 import org.galenahinge.wire.WireLink;
@@ -28,9 +27,9 @@
         return link.reply(correlation, Frame.newBuilder().setCallHead(head));
     }
 
-    boolean part(ByteString content) {
+    boolean part(byte[] content) {
         CallPart part = CallPart.newBuilder()
-                .setContent(UnsafeByteOperations.unsafeWrap(content.asByteBuffer()))
+                .setContent(UnsafeByteOperations.unsafeWrap(content))
                 .build();
         return link.reply(correlation, Frame.newBuilder().setCallPart(part));
     }
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -10,15 +10,11 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.galenahinge.concurrent.Controller;
-import org.galenahinge.daemon.ActorRuntime;
 import org.galenahinge.daemon.Incarnation;
 import org.galenahinge.daemon.MetricsHttp;
 import org.galenahinge.engine.EngineClient;
-import org.galenahinge.engine.UpstreamClient;
+import org.galenahinge.http.HttpServer;
 import org.galenahinge.limit.Admission;
 import org.galenahinge.log.DecisionLog;
 import org.galenahinge.membership.Vm;
@@ -31,7 +27,9 @@
 import org.galenahinge.weights.ChunkMemory;
 import org.galenahinge.weights.PullPlan;
 import org.galenahinge.wire.LinkRegistry;
+import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.Peers;
+import org.galenahinge.wire.WireAddress;
 import org.galenahinge.wire.WireNetwork;
 import org.galenahinge.wire.WireTraffic;
 import org.galenahinge.wire.generated.Hello;
@@ -47,7 +45,7 @@
  */
 public final class SlotDaemon {
     private static final Logger LOG = Logger.getLogger(SlotDaemon.class);
-    private static final int WIRE_THREADS = 1;
+    private static final int NETWORK_THREADS = 1;
     private static final int MAXIMUM_LINKS = 2_048;
     private static final int PERMIT_WINDOW = 65_536;
     private static final long KEPT_ANSWER_BYTES = 8L << 20;
@@ -55,7 +53,7 @@
     private static final Duration STATUS_EVERY = Duration.ofMillis(50);
     private static final Duration NOTICE = Duration.ofMillis(500);
 
-    private final ActorSystem<Void> system;
+    private final NetworkThreads threads;
     private final WireNetwork network;
     private final CallController calls;
     private final TicketController tickets;
@@ -71,18 +69,17 @@
     private SlotDaemon(SlotSettings settings, MetricRegistry metrics) {
         Vm self = settings.site().vm();
         long incarnation = Incarnation.draw();
-        this.system = ActorRuntime.create("slot");
-        this.network = WireNetwork.create(WIRE_THREADS, new WireTraffic(metrics));
+        this.threads = NetworkThreads.start(NETWORK_THREADS);
+        this.network = WireNetwork.create(threads, new WireTraffic(metrics));
         DecisionLog decisions = DecisionLog.create(settings.site().decisionLinesPerSecond(), metrics);
         LinkRegistry links = LinkRegistry.create(MAXIMUM_LINKS);
         PeerLinks peers = PeerLinks.create(network, self.name(), incarnation, new SlotFrames.Outgoing());
         ChunkMemory memory = ChunkMemory.create(settings.weightsMemoryBytes());
-        UpstreamClient upstream = UpstreamClient.create(system, settings.upstream());
         this.calls = CallController.start(
                 Admission.create(settings.maximumConcurrent(), settings.maximumQueued()),
                 PermitTable.create(self.name(), incarnation, secret(), PERMIT_WINDOW, KEPT_ANSWER_BYTES),
                 (reply, call, fingerprint, ending) ->
-                        UpstreamCall.start(system, upstream, reply, call, fingerprint, ending::ended),
+                        UpstreamCall.start(threads, settings.upstream(), reply, call, fingerprint, ending),
                 metrics);
         this.engine = startEngine(settings, memory, decisions, peers);
         this.weights = startWeights(settings, memory, decisions, peers, metrics);
@@ -158,17 +155,7 @@
 
     private void listen(Vm self, MetricsHttp metricsHttp) throws IOException {
         network.listen(self.wireAddress(), frames);
-        try {
-            Http.get(system)
-                    .newServerAt(self.address(), self.httpPort())
-                    .bindSync(request -> metricsHttp
-                            .answer(request)
-                            .orElseGet(() -> HttpResponse.create().withStatus(404)))
-                    .toCompletableFuture()
-                    .join();
-        } catch (RuntimeException e) {
-            throw new IOException("cannot listen on " + self.address() + ":" + self.httpPort(), e);
-        }
+        HttpServer.start(threads, new WireAddress(self.address(), self.httpPort()), metricsHttp::answer);
     }
 
     private void close() {
@@ -178,8 +165,7 @@
         weights.close();
         uploads.close();
         calls.close();
-        network.close();
-        system.terminate();
+        threads.close();
     }
 
     private Optional<EngineController> startEngine(
@@ -188,7 +174,7 @@
             return Optional.empty();
         }
         return Optional.of(EngineController.start(
-                EngineClient.create(system, settings.upstream()),
+                EngineClient.create(threads, settings.upstream()),
                 memory,
                 decisions,
                 () -> calls.load().running(),
@@ -198,7 +184,7 @@
 
     private WeightsController startWeights(
             SlotSettings settings, ChunkMemory memory, DecisionLog decisions, PeerLinks peers, MetricRegistry metrics) {
-        HttpReader reader = HttpReader.create(system);
+        HttpReader reader = HttpReader.create(threads);
         return WeightsController.start(
                 settings.site().vm(),
                 memory,
--- a/galenahinge/src/main/java/org/galenahinge/slot/UpstreamCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/UpstreamCall.java
@@ -1,25 +1,19 @@
 package org.galenahinge.slot;
 
+import java.io.ByteArrayOutputStream;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BiConsumer;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpHeader;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.stream.javadsl.Framing;
-import org.apache.pekko.stream.javadsl.FramingTruncation;
-import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.util.ByteString;
-import org.galenahinge.engine.UpstreamClient;
+import org.galenahinge.engine.EventSplitter;
+import org.galenahinge.http.Exchange;
 import org.galenahinge.request.Reason;
 import org.galenahinge.request.Verdict;
+import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.generated.CallStart;
 
 /**
@@ -28,60 +22,65 @@
  * <p>A streamed draft is passed on event by event; each event must carry the fingerprint of the weights that the
  * call was routed for, and the last one must be the end mark.
  */
-final class UpstreamCall {
-    private static final ByteString EVENT_END = ByteString.fromString("\n\n");
-    private static final ByteString END_MARK = ByteString.fromString("data: [DONE]");
+final class UpstreamCall implements Exchange.Listener {
+    private static final String END_MARK = "data: [DONE]";
+    private static final String REQUEST_ID = "x-request-id";
     private static final int MAXIMUM_EVENT_BYTES = 256 << 10;
     private static final int MAXIMUM_WHOLE_BYTES = 2 << 20;
-    private static final String REQUEST_ID = "x-request-id";
+    private static final int OK = 200;
+    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
-    private final ActorSystem<?> system;
     private final CallReply reply;
     private final CallStart call;
     private final String fingerprint;
-    private final BiConsumer<Verdict, KeptAnswer> ended;
+    private final CallController.Ending ending;
     private final AtomicBoolean done = new AtomicBoolean();
-    private volatile boolean endMarkSeen;
-    private volatile Optional<UpstreamClient.Exchange> exchange = Optional.empty();
+    private final EventSplitter events = new EventSplitter(MAXIMUM_EVENT_BYTES);
+    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+    private volatile Optional<Exchange> exchange = Optional.empty();
+    private boolean streamed;
+    private boolean endMarkSeen;
+    private int status;
+    private String contentType = "";
 
-    private UpstreamCall(
-            ActorSystem<?> system,
-            CallReply reply,
-            CallStart call,
-            String fingerprint,
-            BiConsumer<Verdict, KeptAnswer> ended) {
-        this.system = system;
+    private UpstreamCall(CallReply reply, CallStart call, String fingerprint, CallController.Ending ending) {
         this.reply = reply;
         this.call = call;
         this.fingerprint = fingerprint;
-        this.ended = ended;
+        this.ending = ending;
     }
 
     /**
      * Starts a call.
      *
-     * @param system runs the streams
-     * @param client the upstream
+     * @param threads the threads that serve the connection
+     * @param upstream where the upstream listens
      * @param reply where the answer goes
      * @param call the call
      * @param fingerprint the fingerprint that a draft must carry, empty for a plain service
-     * @param ended hears the verdict, and the whole answer of a plain service
+     * @param ending hears the verdict, and the whole answer of a plain service
      * @return the call under way
      */
     static UpstreamCall start(
-            ActorSystem<?> system,
-            UpstreamClient client,
+            NetworkThreads threads,
+            URI upstream,
             CallReply reply,
             CallStart call,
             String fingerprint,
-            BiConsumer<Verdict, KeptAnswer> ended) {
+            CallController.Ending ending) {
         UpstreamCall running = new UpstreamCall(
-                system,
-                Objects.requireNonNull(reply, "reply"),
-                Objects.requireNonNull(call, "call"),
-                fingerprint,
-                ended);
-        running.send(client);
+                Objects.requireNonNull(reply, "reply"), Objects.requireNonNull(call, "call"), fingerprint, ending);
+        Map<String, String> headers = Map.of(
+                REQUEST_ID,
+                call.getRequestId(),
+                "x-priority",
+                Integer.toString(call.getPriority()),
+                "content-type",
+                "application/json");
+        Exchange.Request request = new Exchange.Request(
+                "POST", call.getPath(), headers, List.of(call.getBody().toByteArray()));
+        running.exchange = Optional.of(Exchange.send(threads, upstream, request, running));
+        threads.schedule(call.getTimeoutMillis(), () -> running.cancel(Reason.TIMEOUT, "no whole answer in time"));
         return running;
     }
 
@@ -90,118 +89,96 @@
         finish(Verdict.mayHaveRun(reason, detail), KeptAnswer.NONE);
     }
 
-    private void send(UpstreamClient client) {
-        Duration timeout = Duration.ofMillis(call.getTimeoutMillis());
-        HttpRequest request = HttpRequest.POST(call.getPath())
-                .addHeader(RawHeader.create(REQUEST_ID, call.getRequestId()))
-                .addHeader(RawHeader.create("x-priority", Integer.toString(call.getPriority())))
-                .withEntity(HttpEntities.create(
-                        ContentTypes.APPLICATION_JSON,
-                        ByteString.fromByteBuffer(call.getBody().asReadOnlyByteBuffer())));
-        UpstreamClient.Exchange started = client.send(request, timeout);
-        exchange = Optional.of(started);
-        if (done.get()) {
-            started.close();
+    @Override
+    public void head(int newStatus, Exchange.Headers headers) {
+        status = newStatus;
+        contentType = headers.find("content-type").orElse("application/octet-stream");
+        boolean own =
+                headers.find(REQUEST_ID).filter(call.getRequestId()::equals).isPresent();
+        if (!own && status < 500) {
+            fail(Reason.BAD_ANSWER, "the upstream answered another request");
             return;
         }
-        system.scheduler()
-                .scheduleOnce(
-                        timeout, () -> cancel(Reason.TIMEOUT, "no whole answer in time"), system.executionContext());
-        started.outcome().whenComplete((outcome, error) -> handle(outcome));
+        streamed = call.getStreamed() && status == OK;
+        if (streamed) {
+            reply.head(status, contentType, fingerprint);
+        }
     }
 
-    private void handle(UpstreamClient.Outcome outcome) {
-        if (outcome instanceof UpstreamClient.Outcome.NotSent notSent) {
-            finish(Verdict.notRun(Reason.UNREACHABLE, notSent.detail(), Duration.ofMillis(200)), KeptAnswer.NONE);
+    @Override
+    public void part(byte[] content) {
+        if (done.get()) {
             return;
         }
-        if (outcome instanceof UpstreamClient.Outcome.Answered answered) {
-            receive(answered.response());
+        if (streamed) {
+            passEvents(content);
             return;
         }
-        UpstreamClient.Outcome.Lost lost = (UpstreamClient.Outcome.Lost) outcome;
-        Reason reason = lost.timedOut() ? Reason.TIMEOUT : Reason.CONNECTION_LOST;
-        finish(Verdict.mayHaveRun(reason, lost.detail()), KeptAnswer.NONE);
+        whole.writeBytes(content);
+        if (whole.size() > MAXIMUM_WHOLE_BYTES) {
+            fail(Reason.BAD_ANSWER, "the answer is larger than " + MAXIMUM_WHOLE_BYTES + " bytes");
+        }
     }
 
-    private void receive(HttpResponse response) {
-        boolean own = response.getHeader(REQUEST_ID)
-                .map(HttpHeader::value)
-                .filter(call.getRequestId()::equals)
-                .isPresent();
-        if (!own) {
-            finish(Verdict.mayHaveRun(Reason.BAD_ANSWER, "the upstream answered another request"), KeptAnswer.NONE);
-        } else if (call.getStreamed() && response.status().isSuccess()) {
-            receiveEvents(response);
+    @Override
+    public void whole() {
+        if (done.get()) {
+            return;
+        }
+        if (!streamed) {
+            passWhole(new KeptAnswer(status, contentType, whole.toByteArray()));
+        } else if (endMarkSeen && !events.isInEvent()) {
+            finish(Verdict.answered(), KeptAnswer.NONE);
         } else {
-            receiveWhole(response);
+            fail(Reason.BAD_ANSWER, "the draft was cut off");
         }
     }
 
-    private void receiveWhole(HttpResponse response) {
-        response.entity()
-                .toStrict(call.getTimeoutMillis(), MAXIMUM_WHOLE_BYTES, system)
-                .whenComplete((entity, error) -> {
-                    if (error != null) {
-                        finish(Verdict.mayHaveRun(Reason.BAD_ANSWER, "the answer was cut off"), KeptAnswer.NONE);
-                        return;
-                    }
-                    String contentType = entity.getContentType().toString();
-                    passWhole(new KeptAnswer(response.status().intValue(), contentType, entity.getData()));
-                });
+    @Override
+    public void notSent(String detail) {
+        finish(Verdict.notRun(Reason.UNREACHABLE, detail, RETRY_AFTER), KeptAnswer.NONE);
     }
 
-    private void passWhole(KeptAnswer answer) {
-        boolean draft = !fingerprint.isEmpty() && answer.status() == 200;
-        if (draft && !answer.body().utf8String().contains(fingerprint)) {
-            finish(Verdict.mayHaveRun(Reason.BAD_ANSWER, "the draft is from other weights"), KeptAnswer.NONE);
-            return;
-        }
-        if (done.get()) {
-            return;
-        }
-        reply.head(answer.status(), answer.contentType(), fingerprint);
-        reply.part(answer.body());
-        finish(Verdict.answered(), answer);
+    @Override
+    public void broken(String detail) {
+        fail(Reason.CONNECTION_LOST, detail);
     }
 
-    private void receiveEvents(HttpResponse response) {
-        reply.head(200, response.entity().getContentType().toString(), fingerprint);
-        CompletionStage<?> events = response.entity()
-                .getDataBytes()
-                .via(Framing.delimiter(EVENT_END, MAXIMUM_EVENT_BYTES, FramingTruncation.DISALLOW))
-                .runWith(Sink.foreach(this::passEvent), system);
-        events.whenComplete((value, error) -> endOfEvents(error));
+    private void passEvents(byte[] content) {
+        for (String event : events.take(content)) {
+            boolean last = event.startsWith(END_MARK);
+            if (!last && !event.contains(fingerprint)) {
+                fail(Reason.BAD_ANSWER, "an event is from other weights");
+                return;
+            }
+            endMarkSeen = endMarkSeen || last;
+            if (!reply.part(EventSplitter.bytesOf(event))) {
+                fail(Reason.SLOW_CALLER, "the entry did not take the answer");
+                return;
+            }
+        }
     }
 
-    private void passEvent(ByteString event) {
-        if (done.get()) {
-            return;
-        }
-        boolean last = event.take(END_MARK.length()).equals(END_MARK);
-        if (!last && !event.utf8String().contains(fingerprint)) {
-            finish(Verdict.mayHaveRun(Reason.BAD_ANSWER, "an event is from other weights"), KeptAnswer.NONE);
+    private void passWhole(KeptAnswer answer) {
+        boolean draft = !fingerprint.isEmpty() && answer.status() == OK;
+        if (draft && !new String(answer.body(), StandardCharsets.UTF_8).contains(fingerprint)) {
+            fail(Reason.BAD_ANSWER, "the draft is from other weights");
             return;
         }
-        endMarkSeen = endMarkSeen || last;
-        if (!reply.part(event.concat(EVENT_END))) {
-            finish(Verdict.mayHaveRun(Reason.SLOW_CALLER, "the entry did not take the answer"), KeptAnswer.NONE);
-        }
+        reply.head(answer.status(), answer.contentType(), fingerprint);
+        reply.part(answer.body());
+        finish(Verdict.answered(), answer);
     }
 
-    private void endOfEvents(Throwable error) {
-        if (error != null || !endMarkSeen) {
-            finish(Verdict.mayHaveRun(Reason.BAD_ANSWER, "the draft was cut off"), KeptAnswer.NONE);
-            return;
-        }
-        finish(Verdict.answered(), KeptAnswer.NONE);
+    private void fail(Reason reason, String detail) {
+        finish(Verdict.mayHaveRun(reason, detail), KeptAnswer.NONE);
     }
 
     private void finish(Verdict verdict, KeptAnswer answer) {
         if (!done.compareAndSet(false, true)) {
             return;
         }
-        ended.accept(verdict, answer);
-        exchange.ifPresent(UpstreamClient.Exchange::close);
+        ending.ended(verdict, answer);
+        exchange.ifPresent(Exchange::close);
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/wire/WireNetwork.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/WireNetwork.java
@@ -11,10 +11,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -26,7 +24,6 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import org.galenahinge.wire.generated.Frame;
 import org.jboss.logging.Logger;
 
@@ -35,7 +32,7 @@
  *
  * <p>A listening port is bound exclusively, so a second process with the same settings fails at start.
  */
-public final class WireNetwork implements AutoCloseable {
+public final class WireNetwork {
     /** The largest frame, in bytes. A larger one closes the link that it came on. */
     public static final int MAXIMUM_FRAME_BYTES = 8 << 20;
     /** The most bytes that wait to be sent on one link. */
@@ -49,20 +46,20 @@
     private final EventLoopGroup group;
     private final WireTraffic traffic;
 
-    private WireNetwork(int threads, WireTraffic traffic) {
-        this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+    private WireNetwork(EventLoopGroup group, WireTraffic traffic) {
+        this.group = group;
         this.traffic = traffic;
     }
 
     /**
      * Creates a network.
      *
-     * @param threads the number of threads that serve all links
+     * @param threads the threads that serve all links; they stay their creator's to close
      * @param traffic counts the bytes
      * @return the network, with no link yet
      */
-    public static WireNetwork create(int threads, WireTraffic traffic) {
-        return new WireNetwork(threads, Objects.requireNonNull(traffic, "traffic"));
+    public static WireNetwork create(NetworkThreads threads, WireTraffic traffic) {
+        return new WireNetwork(threads.group(), Objects.requireNonNull(traffic, "traffic"));
     }
 
     /**
@@ -113,11 +110,6 @@
         return connected;
     }
 
-    @Override
-    public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-    }
-
     private static WriteBufferWaterMark waterMark() {
         return new WriteBufferWaterMark(WRITE_BUFFER_BYTES / 2, WRITE_BUFFER_BYTES);
     }
