Test the decision cores, the links and the whole path

Cause: nothing held the promises but the demonstration.

A whole-path test drives a real entry and real slot processes with an ordinary client library for model servers, streamed and whole; a draft that breaks off, and one that ends early as if it were whole, both reach that client's error handler.

--- /dev/null
+++ b/bench/src/test/java/org/galenahinge/bench/InProcessFleet.java
@@ -0,0 +1,161 @@
+package org.galenahinge.bench;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.galenahinge.entry.EntryDaemon;
+import org.galenahinge.settings.EntrySettings;
+import org.galenahinge.settings.SlotSettings;
+import org.galenahinge.slot.SlotDaemon;
+import org.galenahinge.standins.ConfigurationStandIn;
+import org.galenahinge.standins.EngineStandIn;
+import org.galenahinge.standins.HttpStandIn;
+import org.galenahinge.standins.ServiceStandIn;
+import org.galenahinge.standins.VmListStandIn;
+import org.galenahinge.standins.WeightsStandIn;
+
+/** The real daemons with stand-ins in one process: one entry, one model VM, one order VM. */
+final class InProcessFleet implements AutoCloseable {
+    private static final String ADDRESS = "127.0.0.1";
+    private static final EngineStandIn.Shape ENGINE = new EngineStandIn.Shape(8, 2_000, 50, 512, 4_096, 20, true);
+    private static final WeightsStandIn.Shape WEIGHTS = new WeightsStandIn.Shape(6, 4_096, 50_000_000, 0);
+
+    private final List<HttpStandIn> standIns = new ArrayList<>();
+    private final List<SlotDaemon> slots = new ArrayList<>();
+    private final EntryDaemon entry;
+    private final String entryUrl;
+    private final String configurationUrl;
+    private final String serviceUrl;
+
+    InProcessFleet() throws IOException {
+        configurationUrl = start("configuration", system -> new ConfigurationStandIn(system, 2_000));
+        String vmList = start("vm-list", system -> new VmListStandIn(system, 0));
+        String weights = start("weights", system -> new WeightsStandIn(system, WEIGHTS, List.of("models/inlay/1")));
+        String engineUrl = start("engine", system -> new BreakingEngine(system, new EngineStandIn(system, ENGINE)));
+        serviceUrl = start("service", system -> new ServiceStandIn(system, 1));
+        ObjectNode vms = HttpTool.JSON.createObjectNode();
+        List<String> entryFlags = site(vms.putArray("vms"), "entry-1", "entry");
+        List<String> modelFlags = site(vms.withArray("vms"), "model-1", "upstream");
+        List<String> orderFlags = site(vms.withArray("vms"), "order-1", "upstream");
+        HttpTool.send("PUT", vmList + "/v1/vms", vms.toString());
+        slots.add(startSlot(modelFlags, engineUrl, "model", weights));
+        slots.add(startSlot(orderFlags, serviceUrl, "service", weights));
+        entryFlags.addAll(List.of("--configuration-service", configurationUrl, "--vm-list", vmList));
+        entryFlags.addAll(List.of("--request-timeout-seconds", "10"));
+        EntrySettings settings = EntrySettings.read(entryFlags, Map.of());
+        entryUrl = "http://" + ADDRESS + ":" + settings.site().vm().httpPort();
+        entry = EntryDaemon.start(settings);
+    }
+
+    String entryUrl() {
+        return entryUrl;
+    }
+
+    String serviceUrl() {
+        return serviceUrl;
+    }
+
+    void publish(long number, String ticket) {
+        HttpTool.send("PUT", configurationUrl + "/v1/values/tickets/" + number, ticket);
+    }
+
+    @Override
+    public void close() {
+        entry.stop().toCompletableFuture().join();
+        slots.forEach(slot -> slot.stop().toCompletableFuture().join());
+        standIns.forEach(HttpStandIn::close);
+    }
+
+    private String start(String name, Function<ActorSystem<?>, HttpStandIn.Handler> handler) throws IOException {
+        HttpStandIn standIn = HttpStandIn.start(name, ADDRESS, freePort(), handler);
+        standIns.add(standIn);
+        return "http://" + ADDRESS + ":" + standIn.port();
+    }
+
+    private static SlotDaemon startSlot(List<String> site, String upstream, String kind, String weights)
+            throws IOException {
+        List<String> flags = new ArrayList<>(site);
+        flags.addAll(List.of("--upstream", upstream, "--upstream-kind", kind, "--store", weights, "--origin", weights));
+        String model = Boolean.toString(kind.equals("model"));
+        flags.addAll(List.of("--upstream-checks-fencing", model, "--calls-repeatable", model));
+        return SlotDaemon.start(SlotSettings.read(flags, Map.of()));
+    }
+
+    private static List<String> site(ArrayNode vms, String name, String kind) throws IOException {
+        int wirePort = freePort();
+        int httpPort = freePort();
+        vms.addObject()
+                .put("name", name)
+                .put("kind", kind)
+                .put("address", ADDRESS)
+                .put("wirePort", wirePort)
+                .put("httpPort", httpPort)
+                .put("region", "north")
+                .put("failureDomain", "north-1")
+                .put("leaving", false);
+        return new ArrayList<>(List.of(
+                "--name",
+                name,
+                "--address",
+                ADDRESS,
+                "--wire-port",
+                Integer.toString(wirePort),
+                "--http-port",
+                Integer.toString(httpPort),
+                "--region",
+                "north",
+                "--failure-domain",
+                "north-1"));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** An engine that breaks off its answer to a prompt with the word "break", and ends one with "short" early. */
+    private record BreakingEngine(ActorSystem<?> system, EngineStandIn engine) implements HttpStandIn.Handler {
+        @Override
+        public CompletionStage<HttpResponse> handle(HttpRequest request) {
+            if (!request.getUri().path().equals("/v1/chat/completions")) {
+                return engine.handle(request);
+            }
+            return request.entity().toStrict(5_000, system).thenCompose(entity -> {
+                String body = entity.getData().utf8String();
+                HttpRequest again = request.withEntity(entity);
+                boolean breaks = body.contains("break");
+                boolean shortened = body.contains("short");
+                return engine.handle(again)
+                        .thenApply(answer -> breaks || shortened ? cut(answer, request, breaks) : answer);
+            });
+        }
+
+        private HttpResponse cut(HttpResponse answer, HttpRequest request, boolean fails) {
+            Source<ByteString, ?> first = answer.entity().getDataBytes().take(2);
+            Source<ByteString, ?> body = fails
+                    ? first.concat(Source.failed(new IllegalStateException("the engine breaks off on purpose")))
+                    : first;
+            return HttpResponse.create()
+                    .addHeader(RawHeader.create(
+                            "x-request-id",
+                            request.getHeader("x-request-id").orElseThrow().value()))
+                    .withEntity(HttpEntities.createChunked(MediaTypes.TEXT_EVENT_STREAM.toContentType(), body));
+        }
+    }
+}
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/cli/CommandLineTest.java
@@ -0,0 +1,63 @@
+package org.galenahinge.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.galenahinge.operations.ModelProgress;
+import org.galenahinge.operations.ModelProgress.ReplicaProgress;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CommandLineTest {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+    private final CommandLine commandLine = new CommandLine(
+            new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(errors, true, StandardCharsets.UTF_8),
+            Map.of("GALENAHINGE_ENTRIES", "http://127.0.0.1:1"),
+            false);
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void acceptsTheExampleInTheDocumentation() {
+        Path example = Path.of("..", "docs", "ticket-example.json");
+
+        assertThat(commandLine.run("ticket", "check", example.toString())).isEqualTo(CommandLine.DONE);
+    }
+
+    @Test
+    void namesEachWrongFieldOfATicket() throws IOException {
+        Path file = Files.writeString(folder.resolve("ticket.json"), "{\"number\":-1,\"groups\":[]}");
+
+        assertThat(commandLine.run("ticket", "check", file.toString())).isEqualTo(CommandLine.WRONG);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("number:").contains("groups:");
+    }
+
+    @Test
+    void saysWhenNoEntryAnswers() {
+        assertThat(commandLine.run("fleet")).isEqualTo(CommandLine.NO_ANSWER);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("http://127.0.0.1:1");
+    }
+
+    @Test
+    void refusesAnAddressThatIsNone() {
+        assertThat(commandLine.run("--entries", "entry-1", "fleet")).isEqualTo(CommandLine.WRONG);
+    }
+
+    @Test
+    void fillsTheBarByChunksHeld() {
+        ModelProgress progress =
+                new ModelProgress("m", "1", 0, 1, 0, List.of(new ReplicaProgress("vm", "r", false, "", 10, 40, "")));
+
+        assertThat(CommandLine.bar(progress)).startsWith("[##########...").endsWith("10/40 chunks");
+    }
+}
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/engine/EventSplitterTest.java
@@ -0,0 +1,47 @@
+package org.galenahinge.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EventSplitterTest {
+    private static final String BODY = "data: {\"a\":\"é\"}\n\ndata: two\n\ndata: [DONE]\n\n";
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1_000})
+    void findsTheSameEventsHoweverTheBodyIsCut(int size) {
+        byte[] body = BODY.getBytes(StandardCharsets.UTF_8);
+        EventSplitter splitter = new EventSplitter(1_000);
+        List<String> events = new ArrayList<>();
+        for (int from = 0; from < body.length; from += size) {
+            events.addAll(splitter.take(Arrays.copyOfRange(body, from, Math.min(body.length, from + size))));
+        }
+
+        assertThat(events).hasSize(3);
+        assertThat(EventSplitter.bytesOf(events.get(0)))
+                .isEqualTo("data: {\"a\":\"é\"}\n\n".getBytes(StandardCharsets.UTF_8));
+        assertThat(splitter.isInEvent()).isFalse();
+    }
+
+    @Test
+    void knowsThatAnEventWasCutOff() {
+        EventSplitter splitter = new EventSplitter(100);
+        splitter.take("data: hal".getBytes(StandardCharsets.UTF_8));
+
+        assertThat(splitter.isInEvent()).isTrue();
+    }
+
+    @Test
+    void refusesAnEventWithoutEnd() {
+        EventSplitter splitter = new EventSplitter(10);
+
+        assertThatThrownBy(() -> splitter.take(new byte[20])).isInstanceOf(IllegalStateException.class);
+    }
+}
