--- a/bench/src/main/java/org/galenahinge/bench/ExperimentMain.java
+++ b/bench/src/main/java/org/galenahinge/bench/ExperimentMain.java
@@ -20,6 +20,7 @@
             OrdersExperiment.EXPERIMENT,
             OverloadExperiment.EXPERIMENT,
             RoutingExperiment.EXPERIMENT,
+            SpreadExperiment.EXPERIMENT,
             FailoverExperiment.EXPERIMENT);
 
     private ExperimentMain() {}
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -20,6 +20,7 @@
 import org.galenahinge.daemon.MetricsHttp;
 import org.galenahinge.log.DecisionLog;
 import org.galenahinge.membership.Fleet;
+import org.galenahinge.membership.MembershipCore;
 import org.galenahinge.membership.Vm;
 import org.galenahinge.operations.EntryList;
 import org.galenahinge.operations.EntryList.EntryAddress;
@@ -32,15 +33,15 @@
 import org.galenahinge.request.RetryFilter;
 import org.galenahinge.request.Verdict;
 import org.galenahinge.settings.EntrySettings;
+import org.galenahinge.wire.DatagramNetwork;
 import org.galenahinge.wire.LinkRegistry;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.Peers;
+import org.galenahinge.wire.WireAddress;
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.WireNetwork;
 import org.galenahinge.wire.WireTraffic;
-import org.galenahinge.wire.generated.Frame;
 import org.galenahinge.wire.generated.Hello;
-import org.galenahinge.wire.generated.Leaving;
 import org.galenahinge.wire.generated.Report;
 import org.galenahinge.wire.generated.SlotState;
 import org.jboss.logging.Logger;
@@ -57,6 +58,7 @@
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
     private static final int NETWORK_THREADS = 2;
     private static final int MAXIMUM_LINKS = 4_096;
+    private static final int ENTRIES_NAMED = 16;
     private static final int FULL_WEIGHT = 100;
     private static final Duration JOIN_PATIENCE = Duration.ofSeconds(5);
     private static final Duration IDLE_POLL = Duration.ofMillis(50);
@@ -72,14 +74,16 @@
     private final EntryFrames frames;
     private final LinkKeeper keeper;
     private final SlotDirectory slots = new SlotDirectory();
-    private final LeavingEntries leavingEntries = new LeavingEntries();
     private final TicketController tickets;
     private final FleetController fleet;
+    private final MembershipController membership;
+    private final MetricRegistry metrics;
     private final RoutingController routing;
     private final CapacityFilter capacity;
     private final CallerHttp callers;
     private final OperatorHttp operators;
     private final MetricsHttp metricsHttp;
+    private volatile Optional<DatagramNetwork> datagrams = Optional.empty();
     private volatile Optional<ServerBinding> binding = Optional.empty();
     private volatile boolean leaving;
 
@@ -96,19 +100,31 @@
                 ConfigurationClient.create(reader, settings.configurationService()),
                 this::entryLinks,
                 slots,
+                this::isUsableEntry,
                 decisions,
                 this::ticketsChanged,
                 metrics);
         this.frames = new EntryFrames(
                 hello(),
                 links,
-                new EntryFrames.Duties(
-                        tickets::offer, this::slotReported, this::linkClosed, leavingEntries::left, this::report));
+                new EntryFrames.Duties(tickets::offer, this::slotReported, this::linkClosed, this::report));
         this.keeper = LinkKeeper.create(self, network, frames, tickets::state, new Linked());
         this.routing =
                 RoutingController.start(tickets::state, keeper::linkTo, decisions, settings.routeByPrefix(), metrics);
         this.fleet =
                 FleetController.create(VmListClient.create(reader, settings.vmList()), this::fleetChanged, metrics);
+        this.membership = new MembershipController(
+                self.name(),
+                MembershipCore.create(
+                        self.name(),
+                        MembershipCore.Timing.STANDARD,
+                        System.currentTimeMillis(),
+                        incarnation,
+                        System.nanoTime()),
+                this::sendDatagram,
+                () -> tickets.offer(new TicketEvent.Awake()),
+                metrics);
+        this.metrics = metrics;
         this.capacity = new CapacityFilter(settings.maximumRequests(), this::closed);
         Dispatcher dispatcher = new Dispatcher(system, routing, keeper, fleet, decisions);
         RetryFilter retry = new RetryFilter(dispatcher::attempt, decisions, metrics);
@@ -153,8 +169,8 @@
      * @return whether it is ready
      */
     public boolean isReady() {
-        boolean alone = System.nanoTime() - startedNanos > JOIN_PATIENCE.toNanos();
-        boolean joined = tickets.hasJoinedPeer() || (tickets.hasRead() && (alone || hasNoPeers()));
+        boolean patient = System.nanoTime() - startedNanos <= JOIN_PATIENCE.toNanos() && !hasNoPeers();
+        boolean joined = tickets.hasJoinedPeer() || (tickets.hasRead() && !patient);
         return !leaving && fleet.fleet().revision() != 0 && joined;
     }
 
@@ -165,10 +181,7 @@
      */
     public CompletionStage<Void> stop() {
         leaving = true;
-        Frame notice = Frame.newBuilder()
-                .setLeaving(Leaving.newBuilder().setVm(self.name()).setIncarnation(incarnation))
-                .build();
-        links.sendToKind(Peers.ENTRY, notice);
+        membership.leave();
         CompletableFuture<Void> idle = new CompletableFuture<>();
         capacity.whenIdle(() -> idle.complete(null));
         reportWaiting(idle);
@@ -189,6 +202,8 @@
 
     private void listen() throws IOException {
         network.listen(self.wireAddress(), frames);
+        datagrams = Optional.of(DatagramNetwork.listen(threads, self.wireAddress(), metrics, membership::received));
+        membership.begin();
         keeper.begin();
         tickets.begin();
         fleet.begin();
@@ -233,8 +248,11 @@
     }
 
     private EntryList entryList() {
-        List<EntryAddress> entries = fleet.fleet().all(Vm.Kind.ENTRY).stream()
+        List<Vm> usable = fleet.fleet().all(Vm.Kind.ENTRY).stream()
                 .filter(vm -> !vm.leaving() && isUsable(vm))
+                .toList();
+        List<EntryAddress> entries = Fleet.rank(usable, self.name()).stream()
+                .limit(ENTRIES_NAMED)
                 .map(vm -> new EntryAddress(
                         "http://" + vm.address() + ":" + vm.httpPort(), weightOf(vm), vm.region(), vm.failureDomain()))
                 .toList();
@@ -245,7 +263,15 @@
         if (vm.name().equals(self.name())) {
             return !leaving;
         }
-        return keeper.linkTo(vm.name()).isPresent() && !leavingEntries.isLeaving(vm.name());
+        return isUsableEntry(vm.name());
+    }
+
+    private boolean isUsableEntry(String vm) {
+        return membership.isUsable(vm);
+    }
+
+    private void sendDatagram(WireAddress to, byte[] bytes) {
+        datagrams.ifPresent(network -> network.send(to, bytes));
     }
 
     /** An entry that is nearly full asks for fewer callers. */
@@ -269,6 +295,7 @@
     }
 
     private void fleetChanged(Fleet next) {
+        membership.fleetChanged(next);
         keeper.fleetChanged(next);
         tickets.offer(new TicketEvent.FleetChanged(next));
     }
@@ -312,7 +339,8 @@
     }
 
     private void close() {
-        Stream.<AutoCloseable>of(fleet, keeper, tickets, routing, threads).forEach(EntryDaemon::closeQuietly);
+        Stream.<AutoCloseable>of(membership, fleet, keeper, tickets, routing, threads)
+                .forEach(EntryDaemon::closeQuietly);
         system.terminate();
     }
 
@@ -329,11 +357,17 @@
         @Override
         public void linked(Vm vm, WireLink link) {
             if (vm.kind() == Vm.Kind.ENTRY) {
-                leavingEntries.returned(vm.name());
                 tickets.offer(new TicketEvent.EntryLinked(link));
             }
         }
 
+        @Override
+        public void silent(Vm vm) {
+            if (vm.kind() == Vm.Kind.UPSTREAM) {
+                routing.suspect(vm.name());
+            }
+        }
+
         @Override
         public void unreachable(Vm vm) {
             if (vm.kind() == Vm.Kind.UPSTREAM) {
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryFrames.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryFrames.java
@@ -8,7 +8,6 @@
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.generated.Frame;
 import org.galenahinge.wire.generated.Hello;
-import org.galenahinge.wire.generated.Leaving;
 import org.galenahinge.wire.generated.ProbeAnswer;
 import org.galenahinge.wire.generated.Report;
 import org.galenahinge.wire.generated.SlotState;
@@ -26,12 +25,7 @@
     }
 
     /** Where frames go. */
-    record Duties(
-            TicketHearer tickets,
-            SlotHearer slots,
-            Consumer<WireLink> closed,
-            Consumer<Leaving> leaving,
-            Supplier<Report> report) {}
+    record Duties(TicketHearer tickets, SlotHearer slots, Consumer<WireLink> closed, Supplier<Report> report) {}
 
     /** Hears what concerns tickets. */
     @FunctionalInterface
@@ -59,7 +53,6 @@
             case TICKET_REQUEST -> duties.tickets().heard(new TicketEvent.Asked(link, frame));
             case TICKET_DELIVERY -> duties.tickets().heard(new TicketEvent.Delivered(frame.getTicketDelivery()));
             case SLOT_STATE -> duties.slots().heard(link, frame.getSlotState());
-            case LEAVING -> duties.leaving().accept(frame.getLeaving());
             case REPORT_REQUEST ->
                 link.reply(frame, Frame.newBuilder().setReport(duties.report().get()));
             case PROBE ->
--- a/galenahinge/src/main/java/org/galenahinge/entry/FleetController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/FleetController.java
@@ -35,7 +35,7 @@
         this.list = list;
         this.changed = changed;
         this.reads = metrics.counter("platform.vm-list.reads");
-        this.controller = Controller.create("fleet", RING, TICK, this::read, Controller.Tick.always(this::tick));
+        this.controller = Controller.create("fleet", RING, TICK, this::read, this::tick);
     }
 
     static FleetController create(VmListClient list, Consumer<Fleet> changed, MetricRegistry metrics) {
@@ -57,16 +57,17 @@
         controller.close();
     }
 
-    private void tick() {
+    private Duration tick() {
         long now = System.nanoTime();
         if (reading || now - nextReadNanos < 0) {
-            return;
+            return Duration.ofNanos(Math.max(0, nextReadNanos - now));
         }
         reading = true;
         reads.inc();
         list.read()
                 .handle((read, error) -> error == null ? Optional.of(read) : Optional.<Fleet>empty())
                 .thenAccept(controller::offer);
+        return TICK;
     }
 
     private void read(Optional<Fleet> read) {
--- a/galenahinge/src/main/java/org/galenahinge/entry/LinkKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/LinkKeeper.java
@@ -23,6 +23,8 @@
 import org.galenahinge.wire.WireHandler;
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.WireNetwork;
+import org.galenahinge.wire.generated.Frame;
+import org.galenahinge.wire.generated.Probe;
 
 /**
  * Keeps links to the processes that this entry needs: some other entries, the slot processes that it looks after, and
@@ -37,9 +39,16 @@
     private static final int ENTRY_LINKS = 8;
     private static final int SLOTS_PER_GROUP = 48;
     private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration IDLE = Duration.ofSeconds(1);
     private static final long LEAST_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long GREATEST_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    private static final long LEAST_PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** With many links each is probed less often, so that the probes of all cost the same. */
+    private static final long PROBE_NANOS_PER_LINK = TimeUnit.MILLISECONDS.toNanos(60);
+
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(900);
+    private static final int SILENT_PROBES_ALLOWED = 3;
     private static final long RETIREMENT_NANOS = TimeUnit.MINUTES.toNanos(10);
 
     private final Vm self;
@@ -61,7 +70,7 @@
         this.handler = handler;
         this.tickets = tickets;
         this.listener = listener;
-        this.controller = Controller.create("links", RING, TICK, this::handle, Controller.Tick.always(this::tick));
+        this.controller = Controller.create("links", RING, TICK, this::handle, this::tick);
     }
 
     static LinkKeeper create(
@@ -78,6 +87,9 @@
     interface Listener {
         void linked(Vm vm, WireLink link);
 
+        /** The process did not answer a probe; that proves nothing about what it was given. */
+        void silent(Vm vm);
+
         void unreachable(Vm vm);
 
         void unwanted(String vm);
@@ -123,6 +135,8 @@
             closed(closed.link());
         } else if (event instanceof Event.Needed needed) {
             attempts.computeIfAbsent(needed.vm().name(), name -> new Attempt(needed.vm()));
+        } else if (event instanceof Event.Probed probed) {
+            probed(probed);
         } else if (event instanceof Event.Connected connected) {
             connected(connected);
         }
@@ -180,7 +194,7 @@
         }
     }
 
-    private void tick() {
+    private Duration tick() {
         long now = System.nanoTime();
         while (!retired.isEmpty() && now - retired.element().untilNanos() > 0) {
             retired.remove().link().close();
@@ -190,6 +204,36 @@
             if (due && linkTo(attempt.vm.name()).isEmpty()) {
                 connect(attempt);
             }
+            linkTo(attempt.vm.name()).ifPresent(link -> probeIfDue(attempt, link, now));
+        }
+        return links.size() == attempts.size() ? IDLE : TICK;
+    }
+
+    private void probeIfDue(Attempt attempt, WireLink link, long now) {
+        if (attempt.probing || now - attempt.nextProbeNanos < 0) {
+            return;
+        }
+        attempt.probing = true;
+        attempt.nextProbeNanos = now + Math.max(LEAST_PROBE_NANOS, PROBE_NANOS_PER_LINK * links.size());
+        link.ask(Frame.newBuilder().setProbe(Probe.getDefaultInstance()), PROBE_TIMEOUT)
+                .handle((answer, error) -> new Event.Probed(attempt.vm.name(), link, error == null))
+                .thenAccept(controller::offer);
+    }
+
+    /** A process that was paused keeps its links open; closing them lets its calls be tried elsewhere. */
+    private void probed(Event.Probed event) {
+        Attempt attempt = attempts.get(event.vm());
+        if (attempt == null) {
+            return;
+        }
+        attempt.probing = false;
+        attempt.silentProbes = event.answered() ? 0 : attempt.silentProbes + 1;
+        if (attempt.silentProbes == 0) {
+            return;
+        }
+        listener.silent(attempt.vm);
+        if (attempt.silentProbes >= SILENT_PROBES_ALLOWED) {
+            event.link().close();
         }
     }
 
@@ -213,6 +257,8 @@
             return;
         }
         attempt.backoffNanos = LEAST_BACKOFF_NANOS;
+        attempt.silentProbes = 0;
+        attempt.nextProbeNanos = System.nanoTime() + LEAST_PROBE_NANOS;
         links.put(attempt.vm.name(), event.link().get());
         listener.linked(attempt.vm, event.link().get());
     }
@@ -245,6 +291,8 @@
 
         record Needed(Vm vm) implements Event {}
 
+        record Probed(String vm, WireLink link, boolean answered) implements Event {}
+
         record Connected(Vm vm, Optional<WireLink> link) implements Event {}
     }
 
@@ -253,6 +301,9 @@
     private static final class Attempt {
         private final Vm vm;
         private boolean connecting;
+        private boolean probing;
+        private int silentProbes;
+        private long nextProbeNanos = System.nanoTime();
         private long notBeforeNanos = System.nanoTime();
         private long backoffNanos = LEAST_BACKOFF_NANOS;
 
--- a/galenahinge/src/main/java/org/galenahinge/entry/RoutingController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/RoutingController.java
@@ -35,7 +35,7 @@
 final class RoutingController implements AutoCloseable {
     private static final int RING = 16_384;
     private static final Duration TICK = Duration.ofSeconds(30);
-    private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long SUSPECT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
     private final Supplier<TicketState> tickets;
@@ -124,6 +124,10 @@
         controller.offer(() -> table = table.unreachable(vm));
     }
 
+    void suspect(String vm) {
+        controller.offer(() -> table = table.suspect(vm, System.nanoTime() + SUSPECT_NANOS));
+    }
+
     void forget(String vm) {
         controller.offer(() -> table = table.forget(vm));
     }
--- a/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ConcurrentNavigableMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.galenahinge.concurrent.Controller;
 import org.galenahinge.log.DecisionLog;
@@ -57,6 +58,7 @@
     private static final int REFUSALS_KEPT = 1_000;
     private static final int TICKETS_REMEMBERED = 20_000;
     private static final Duration TICK = Duration.ofMillis(100);
+    private static final Duration IDLE = Duration.ofMillis(500);
     private static final Duration LONGEST_WATCH = Duration.ofSeconds(20);
     private static final long COMPARE_EVERY_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long LEAST_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
@@ -67,6 +69,7 @@
     private final ConfigurationClient configuration;
     private final Supplier<List<WireLink>> entryLinks;
     private final SlotDirectory slots;
+    private final Predicate<String> usableEntry;
     private final DecisionLog decisions;
     private final Runnable changed;
     private final Random random = new Random();
@@ -92,6 +95,7 @@
             ConfigurationClient configuration,
             Supplier<List<WireLink>> entryLinks,
             SlotDirectory slots,
+            Predicate<String> usableEntry,
             DecisionLog decisions,
             Runnable changed,
             MetricRegistry metrics) {
@@ -99,10 +103,11 @@
         this.configuration = configuration;
         this.entryLinks = entryLinks;
         this.slots = slots;
+        this.usableEntry = usableEntry;
         this.decisions = decisions;
         this.changed = changed;
         this.reads = metrics.counter("platform.configuration.reads");
-        this.controller = Controller.create("tickets", RING, TICK, this::handle, Controller.Tick.always(this::tick));
+        this.controller = Controller.create("tickets", RING, TICK, this::handle, this::tick);
     }
 
     static TicketController create(
@@ -110,6 +115,7 @@
             ConfigurationClient configuration,
             Supplier<List<WireLink>> entryLinks,
             SlotDirectory slots,
+            Predicate<String> usableEntry,
             DecisionLog decisions,
             Runnable changed,
             MetricRegistry metrics) {
@@ -118,6 +124,7 @@
                 Objects.requireNonNull(configuration, "configuration"),
                 Objects.requireNonNull(entryLinks, "entryLinks"),
                 Objects.requireNonNull(slots, "slots"),
+                Objects.requireNonNull(usableEntry, "usableEntry"),
                 Objects.requireNonNull(decisions, "decisions"),
                 Objects.requireNonNull(changed, "changed"),
                 metrics);
@@ -182,12 +189,14 @@
         } else if (event instanceof TicketEvent.FleetChanged fleetChanged) {
             fleet = fleetChanged.fleet();
             pushAll();
+        } else if (event instanceof TicketEvent.Awake) {
+            nextCompareNanos = System.nanoTime();
         } else if (event instanceof TicketEvent.EntryLinked linked) {
             linked.link().send(digestFrame(state.groupsInForce(), true));
         }
     }
 
-    private void tick() {
+    private Duration tick() {
         long now = System.nanoTime();
         boolean due = isWatcher() || !readOnce || now - nextReadNanos > FALLBACK_READ_NANOS;
         if (!reading && due && now - nextReadNanos >= 0) {
@@ -198,11 +207,13 @@
             compareWithOne();
             pushAll();
         }
+        return reading || readOnce ? IDLE : TICK;
     }
 
     private boolean isWatcher() {
         List<Vm> domain = fleet.all(Vm.Kind.ENTRY).stream()
                 .filter(vm -> vm.failureDomain().equals(self.failureDomain()) && !vm.leaving())
+                .filter(vm -> vm.name().equals(self.name()) || usableEntry.test(vm.name()))
                 .toList();
         List<Vm> first = Fleet.rank(domain, "watchers");
         return first.stream()
--- a/galenahinge/src/main/java/org/galenahinge/entry/TicketEvent.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketEvent.java
@@ -31,6 +31,9 @@
     /** The VMs of the fleet, or those believed to be up, changed. */
     record FleetChanged(Fleet fleet) implements TicketEvent {}
 
+    /** This process was paused for long and has just heard from another entry again. */
+    record Awake() implements TicketEvent {}
+
     /** A link to another entry came up. */
     record EntryLinked(WireLink link) implements TicketEvent {}
 }
--- a/galenahinge/src/main/java/org/galenahinge/limit/Admission.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/Admission.java
@@ -16,7 +16,7 @@
  * the least work so far, interactive calls before batch ones. When the queue is full the newest call of the
  * organisation with the most waiting work is refused, so one that floods refuses itself.
  *
- * <p>Cost of an event: O(calls waiting), which the settings bound.
+ * <p>Cost of an event: at most O(calls waiting squared), which the settings bound.
  */
 public final class Admission {
     private static final double SMOOTHING = 0.1;
@@ -237,19 +237,21 @@
                 .orElseThrow();
     }
 
-    /** The wait of a call behind its own organisation's calls, while all waiting organisations get equal shares. */
+    /** The wait until the call is started, if no further call came: its place in the order of {@link #choose}. */
     private double estimatedWaitNanos(Waiting call) {
         if (running.size() < maximumRunning) {
             return 0;
         }
-        Set<String> organisations = new HashSet<>();
-        organisations.add(call.organisation());
-        int ahead = 1;
-        for (Waiting other : waiting) {
-            organisations.add(other.organisation());
-            ahead += other.organisation().equals(call.organisation()) ? 1 : 0;
+        List<Waiting> queue = new ArrayList<>(waiting);
+        queue.add(call);
+        Map<String, Double> work = new HashMap<>(givenWork);
+        int place = 1;
+        for (Waiting next = choose(queue, work); next.id() != call.id(); next = choose(queue, work)) {
+            queue.remove(next);
+            work.put(next.organisation(), workOf(next.organisation(), queue, work) + next.cost());
+            place++;
         }
-        return meanServiceNanos / maximumRunning * ahead * organisations.size();
+        return meanServiceNanos / maximumRunning * place;
     }
 
     private static long longestWaitNanos(Waiting call) {
--- a/galenahinge/src/main/java/org/galenahinge/settings/SlotSettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/settings/SlotSettings.java
@@ -21,6 +21,8 @@
  * @param weightsMemoryBytes the most memory for weights, in bytes
  * @param vmLinkBytesPerSecond the budget of the own VM's link for weights, each way, in bytes a second
  * @param originLinkBytesPerSecond the budget of the origin's link for one VM, in bytes a second
+ * @param regionLinkBytesPerSecond the budget of the links between regions that all VMs of the own region share, each
+ *     way, in bytes a second
  * @param originCopies how many copies of each chunk a group may draw from the origin
  */
 public record SlotSettings(
@@ -36,6 +38,7 @@
         long weightsMemoryBytes,
         long vmLinkBytesPerSecond,
         long originLinkBytesPerSecond,
+        long regionLinkBytesPerSecond,
         int originCopies) {
     private static final long MAXIMUM_MEMORY = 1L << 40;
     private static final long MAXIMUM_RATE = 100_000_000_000L;
@@ -66,6 +69,12 @@
             1_024,
             MAXIMUM_RATE,
             125_000_000L);
+    private static final Setting<Long> REGION_LINK = Setting.number(
+            "region-link-rate",
+            "budget of the links to other regions, shared by the VMs of the region, in bytes a second",
+            1_024,
+            MAXIMUM_RATE,
+            1_875_000L);
     private static final Setting<Long> ORIGIN_COPIES = Setting.number(
             "origin-copies",
             "copies of each chunk that a group may draw from the origin: 1 spares its link, more can save time",
@@ -100,6 +109,7 @@
                 WEIGHTS_MEMORY,
                 VM_LINK,
                 ORIGIN_LINK,
+                REGION_LINK,
                 ORIGIN_COPIES));
         return SettingsReader.of(
                 "galenahinged slot", "Stands before the one upstream of a VM: admission, orders, weights.", settings);
@@ -128,6 +138,7 @@
                 values.get(WEIGHTS_MEMORY),
                 values.get(VM_LINK),
                 values.get(ORIGIN_LINK),
+                values.get(REGION_LINK),
                 values.get(ORIGIN_COPIES).intValue());
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/PeerLinks.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/PeerLinks.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import org.galenahinge.wire.Peers;
 import org.galenahinge.wire.WireAddress;
 import org.galenahinge.wire.WireHandler;
 import org.galenahinge.wire.WireLink;
@@ -28,13 +27,9 @@
         this.handler = handler;
     }
 
-    static PeerLinks create(WireNetwork network, String vm, long incarnation, WireHandler handler) {
-        Hello hello = Hello.newBuilder()
-                .setVm(vm)
-                .setIncarnation(incarnation)
-                .setKind(Peers.SLOT)
-                .build();
-        return new PeerLinks(Objects.requireNonNull(network, "network"), hello, handler);
+    static PeerLinks create(WireNetwork network, Hello hello, WireHandler handler) {
+        return new PeerLinks(
+                Objects.requireNonNull(network, "network"), Objects.requireNonNull(hello, "hello"), handler);
     }
 
     /** The link to a peer, connected now if there is none. */
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -72,8 +72,14 @@
         this.threads = NetworkThreads.start(NETWORK_THREADS);
         this.network = WireNetwork.create(threads, new WireTraffic(metrics));
         DecisionLog decisions = DecisionLog.create(settings.site().decisionLinesPerSecond(), metrics);
+        Hello hello = Hello.newBuilder()
+                .setVm(self.name())
+                .setIncarnation(incarnation)
+                .setKind(Peers.SLOT)
+                .setRegion(self.region())
+                .build();
         LinkRegistry links = LinkRegistry.create(MAXIMUM_LINKS);
-        PeerLinks peers = PeerLinks.create(network, self.name(), incarnation, new SlotFrames.Outgoing());
+        PeerLinks peers = PeerLinks.create(network, hello, new SlotFrames.Outgoing());
         ChunkMemory memory = ChunkMemory.create(settings.weightsMemoryBytes());
         this.calls = CallController.start(
                 Admission.create(settings.maximumConcurrent(), settings.maximumQueued()),
@@ -83,7 +89,12 @@
                 metrics);
         this.engine = startEngine(settings, memory, decisions, peers);
         this.weights = startWeights(settings, memory, decisions, peers, metrics);
-        this.uploads = UploadController.start(memory, settings.vmLinkBytesPerSecond(), metrics);
+        this.uploads = UploadController.start(
+                memory,
+                settings.vmLinkBytesPerSecond(),
+                settings.regionLinkBytesPerSecond(),
+                weights::regionMembers,
+                metrics);
         this.tickets = TicketController.start(self.name(), decisions, assignment -> assign(settings, assignment));
         Supplier<Serving> serving = () -> engine.map(EngineController::serving).orElseGet(this::servedService);
         this.slotStatus = new SlotStatus(
@@ -98,14 +109,10 @@
                 () -> leaving,
                 () -> new SlotStatus.Traffic(
                         metrics.counter("weights.origin.bytes").getCount(),
-                        metrics.counter("weights.peer.bytes").getCount()));
+                        metrics.counter("weights.peer.bytes").getCount(),
+                        metrics.counter("weights.cross-region.bytes").getCount()));
         this.status = Controller.start(
                 "status", 64, STATUS_EVERY, Runnable::run, Controller.Tick.always(slotStatus::sendIfChanged));
-        Hello hello = Hello.newBuilder()
-                .setVm(self.name())
-                .setIncarnation(incarnation)
-                .setKind(Peers.SLOT)
-                .build();
         this.frames = new SlotFrames(hello, links, calls, tickets, weights, uploads, slotStatus);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotFrames.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotFrames.java
@@ -56,7 +56,8 @@
                         link,
                         frame.getCorrelation(),
                         frame.getPossessionRequest().getWeightsKey()));
-            case CHUNK_REQUEST -> uploads.ask(link, frame.getCorrelation(), frame.getChunkRequest());
+            case CHUNK_REQUEST ->
+                uploads.ask(link, frame.getCorrelation(), frame.getChunkRequest(), isOfOtherRegion(link));
             case PROBE -> answerProbe(link, frame);
             default -> link.close();
         }
@@ -68,6 +69,12 @@
         calls.offer(new CallEvent.LinkLost(link));
     }
 
+    private boolean isOfOtherRegion(WireLink link) {
+        return links.peer(link)
+                .filter(peer -> !peer.getRegion().equals(hello.getRegion()))
+                .isPresent();
+    }
+
     private void greet(WireLink link, Hello peer) {
         links.greet(link, peer);
         if (peer.getKind().equals(Peers.ENTRY)) {
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotStatus.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotStatus.java
@@ -91,6 +91,7 @@
                 .addAllGroups(tickets.digest())
                 .setOriginBytes(moved.originBytes())
                 .setPeerBytes(moved.peerBytes())
+                .setCrossRegionBytes(moved.crossRegionBytes())
                 .build();
     }
 
@@ -109,6 +110,7 @@
                 .clearQueued()
                 .clearOriginBytes()
                 .clearPeerBytes()
+                .clearCrossRegionBytes()
                 .setChunksHeld(whole ? state.getChunksHeld() : 0)
                 .build();
     }
@@ -122,6 +124,7 @@
      *
      * @param originBytes bytes from the origin
      * @param peerBytes bytes from other VMs
+     * @param crossRegionBytes those of them that came from other regions
      */
-    record Traffic(long originBytes, long peerBytes) {}
+    record Traffic(long originBytes, long peerBytes, long crossRegionBytes) {}
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/UploadController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/UploadController.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import org.galenahinge.concurrent.Controller;
 import org.galenahinge.limit.TokenBucket;
 import org.galenahinge.weights.ChunkMemory;
@@ -42,26 +43,63 @@
     private final Deque<Ask> ready = new ArrayDeque<>();
     private final List<Ask> patient = new ArrayList<>();
     private final Counter sentBytes;
+    private final long regionBytesPerSecond;
+    private final IntSupplier regionMembers;
+    private final Deque<Ask> readyForOtherRegions = new ArrayDeque<>();
     private TokenBucket link;
+    private TokenBucket regionLink;
+    private int sharers = 1;
 
-    private UploadController(ChunkMemory memory, long bytesPerSecond, MetricRegistry metrics) {
+    private UploadController(
+            ChunkMemory memory,
+            long bytesPerSecond,
+            long regionBytesPerSecond,
+            IntSupplier regionMembers,
+            MetricRegistry metrics) {
         this.memory = memory;
-        this.link = TokenBucket.full(
-                (double) bytesPerSecond, Math.max(1, bytesPerSecond * BURST_SECONDS), System.nanoTime());
+        this.regionBytesPerSecond = regionBytesPerSecond;
+        this.regionMembers = regionMembers;
+        this.link = bucket(bytesPerSecond);
+        this.regionLink = bucket(regionBytesPerSecond);
         this.sentBytes = metrics.counter("weights.sent.bytes");
         this.controller = Controller.start("uploads", RING, TICK, this::take, this::tick);
     }
 
-    static UploadController start(ChunkMemory memory, long bytesPerSecond, MetricRegistry metrics) {
-        return new UploadController(Objects.requireNonNull(memory, "memory"), bytesPerSecond, metrics);
+    /**
+     * Starts sending what is asked for.
+     *
+     * @param memory holds the chunks
+     * @param bytesPerSecond the budget of the own link
+     * @param regionBytesPerSecond the budget that all VMs of the own region share towards other regions
+     * @param regionMembers how many VMs of the own region share it
+     * @param metrics counts the bytes
+     * @return the running controller
+     */
+    static UploadController start(
+            ChunkMemory memory,
+            long bytesPerSecond,
+            long regionBytesPerSecond,
+            IntSupplier regionMembers,
+            MetricRegistry metrics) {
+        return new UploadController(
+                Objects.requireNonNull(memory, "memory"),
+                bytesPerSecond,
+                regionBytesPerSecond,
+                Objects.requireNonNull(regionMembers, "regionMembers"),
+                metrics);
     }
 
-    void ask(WireLink peer, long correlation, ChunkRequest request) {
+    private static TokenBucket bucket(double bytesPerSecond) {
+        return TokenBucket.full(bytesPerSecond, Math.max(1, bytesPerSecond * BURST_SECONDS), System.nanoTime());
+    }
+
+    void ask(WireLink peer, long correlation, ChunkRequest request, boolean otherRegion) {
         Ask ask = new Ask(
                 peer,
                 correlation,
                 HEXADECIMAL.encode(request.getHash().toByteArray()),
                 request.getPatient(),
+                otherRegion,
                 System.nanoTime() + PATIENCE.toNanos());
         if (!controller.offer(ask)) {
             refuse(ask);
@@ -96,26 +134,45 @@
             }
         }
         sendWhatFits();
-        if (ready.isEmpty()) {
+        if (ready.isEmpty() && readyForOtherRegions.isEmpty()) {
             return patient.isEmpty() ? IDLE : PATIENT_CHECK;
         }
         return TICK;
     }
 
     private void enqueue(Ask ask) {
-        if (ready.size() >= MAXIMUM_READY) {
+        Deque<Ask> queue = ask.otherRegion() ? readyForOtherRegions : ready;
+        if (queue.size() >= MAXIMUM_READY) {
             refuse(ask);
             return;
         }
-        ready.add(ask);
+        queue.add(ask);
     }
 
     private void sendWhatFits() {
+        shareRegionLink();
+        // A chunk that another whole region waits for goes before one that a single neighbour waits for.
+        while (!readyForOtherRegions.isEmpty()
+                && regionLink.hasAny(System.nanoTime())
+                && link.hasAny(System.nanoTime())) {
+            Ask ask = readyForOtherRegions.remove();
+            memory.find(ask.hash())
+                    .ifPresent(content -> regionLink = regionLink.spend(content.length, System.nanoTime()));
+            send(ask);
+        }
         while (!ready.isEmpty() && link.hasAny(System.nanoTime())) {
             send(ready.remove());
         }
     }
 
+    private void shareRegionLink() {
+        int members = Math.max(1, regionMembers.getAsInt());
+        if (members != sharers) {
+            sharers = members;
+            regionLink = bucket(regionBytesPerSecond / (double) members);
+        }
+    }
+
     private void send(Ask ask) {
         Optional<byte[]> content = memory.find(ask.hash());
         if (content.isEmpty() || !ask.peer().isOpen()) {
@@ -137,5 +194,6 @@
         ask.peer().reply(ask.correlation(), Frame.newBuilder().setChunkAnswer(answer.setHash(hash)));
     }
 
-    private record Ask(WireLink peer, long correlation, String hash, boolean isPatient, long untilNanos) {}
+    private record Ask(
+            WireLink peer, long correlation, String hash, boolean isPatient, boolean otherRegion, long untilNanos) {}
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/WeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/WeightsController.java
@@ -59,6 +59,7 @@
     private final Controller<WeightsEvent> controller;
     private final Counter originBytes;
     private final Counter peerBytes;
+    private final Counter crossRegionBytes;
     private final Counter corruptChunks;
     private final Map<String, Long> followNotBefore = new HashMap<>();
     private final List<Follower> followers = new ArrayList<>();
@@ -67,6 +68,7 @@
     private TokenBucket link;
     private long manifestRetryNanos;
     private boolean possessionChanged;
+    private volatile int regionMembers = 1;
     private volatile Progress progress = Progress.NONE;
 
     private WeightsController(
@@ -87,6 +89,7 @@
         this.completed = completed;
         this.originBytes = metrics.counter("weights.origin.bytes");
         this.peerBytes = metrics.counter("weights.peer.bytes");
+        this.crossRegionBytes = metrics.counter("weights.cross-region.bytes");
         this.corruptChunks = metrics.counter("weights.chunks.corrupt");
         this.executor = executor.apply(this);
         this.controller = Controller.start("weights", RING, TICK, this::handle, this::tick);
@@ -116,6 +119,11 @@
         return controller.offer(event);
     }
 
+    /** How many VMs of the group are in the own region, this one among them. */
+    int regionMembers() {
+        return regionMembers;
+    }
+
     Progress progress() {
         return progress;
     }
@@ -164,6 +172,9 @@
     private void want(Optional<Assignment> next) {
         String before = wantedModel().map(ModelWorkload::weightsKey).orElse("");
         assignment = next;
+        regionMembers = (int) members().stream()
+                .filter(member -> member.region().equals(self.region()))
+                .count();
         String now = wantedModel().map(ModelWorkload::weightsKey).orElse("");
         if (!before.equals(now)) {
             copy = Optional.empty();
@@ -276,6 +287,7 @@
         (fromOrigin ? originBytes : peerBytes).inc(content.length);
         if (pull.patient()) {
             link = link.spend(content.length, now);
+            crossRegionBytes.inc(content.length);
         }
         held.plan().ended(pull);
         held.plan().received(pull.chunk(), now);
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/wire/DatagramNetwork.java
@@ -0,0 +1,103 @@
+package org.galenahinge.wire;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.function.Consumer;
+
+/** Sends and receives membership messages as datagrams. */
+public final class DatagramNetwork {
+    /** What UDP and IP add to each datagram, in bytes; it is counted with the control traffic. */
+    public static final int HEADER_BYTES = 28;
+
+    private final Channel channel;
+    private final Counter control;
+
+    private DatagramNetwork(Channel channel, Counter control) {
+        this.channel = channel;
+        this.control = control;
+    }
+
+    /**
+     * Listens for datagrams.
+     *
+     * @param threads the threads that serve it
+     * @param address where to listen
+     * @param metrics counts the bytes
+     * @param handler handles each message; called on a network thread
+     * @return the network
+     * @throws IOException when the port is in use
+     */
+    public static DatagramNetwork listen(
+            NetworkThreads threads,
+            WireAddress address,
+            MetricRegistry metrics,
+            Consumer<MembershipCodec.Received> handler)
+            throws IOException {
+        Objects.requireNonNull(handler, "handler");
+        Counter control = metrics.counter("wire.control.bytes");
+        Counter malformed = metrics.counter("wire.frames.malformed");
+        Bootstrap bootstrap = new Bootstrap()
+                .group(threads.group())
+                .channel(NioDatagramChannel.class)
+                .handler(new ChannelInitializer<NioDatagramChannel>() {
+                    @Override
+                    protected void initChannel(NioDatagramChannel opened) {
+                        opened.pipeline().addLast(new Receiver(handler, control, malformed));
+                    }
+                });
+        var binding = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException(
+                    "cannot listen on " + address + ": " + binding.cause().getMessage(), binding.cause());
+        }
+        return new DatagramNetwork(binding.channel(), control);
+    }
+
+    /**
+     * Sends a datagram, which may be lost.
+     *
+     * @param to where to
+     * @param bytes its bytes
+     */
+    public void send(WireAddress to, byte[] bytes) {
+        control.inc(bytes.length + (long) HEADER_BYTES);
+        channel.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.host(), to.port())),
+                channel.voidPromise());
+    }
+
+    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final Consumer<MembershipCodec.Received> handler;
+        private final Counter control;
+        private final Counter malformed;
+
+        Receiver(Consumer<MembershipCodec.Received> handler, Counter control, Counter malformed) {
+            super(DatagramPacket.class);
+            this.handler = handler;
+            this.control = control;
+            this.malformed = malformed;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            control.inc(packet.content().readableBytes() + (long) HEADER_BYTES);
+            MembershipCodec.read(packet.content().nioBuffer()).ifPresentOrElse(handler, malformed::inc);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A datagram that could not be sent or read is lost like any other.
+        }
+    }
+}
