Share the region's budget by what is drawn, and refuse chunk requests that would wait

Equal parts of the region's budget left VMs that draw nothing idle, while one that drew five chunks took many times as long; and requests stood in line for seconds at a few sources while others were idle.

Change: a VM's part of the region's budget is its part of the chunks that the region draws, which all VMs compute alike; a source lets four requests wait and says 'busy' to the next; the own link's budget is spent when a chunk comes, not when it is asked for.

--- a/galenahinge/src/main/java/org/galenahinge/slot/PeerPulls.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/PeerPulls.java
@@ -2,6 +2,7 @@
 
 import com.google.common.io.BaseEncoding;
 import com.google.protobuf.ByteString;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -13,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.galenahinge.platform.WeightSourceClient;
+import org.galenahinge.slot.WeightsEvent.PullOutcome;
 import org.galenahinge.ticket.TicketGroup.ModelWorkload;
 import org.galenahinge.weights.Artifact;
 import org.galenahinge.weights.Manifest;
@@ -108,7 +110,7 @@
         if (pull.source() instanceof PullPlan.Source.Origin) {
             pullFromOrigin(weightsKey, pull, chunk);
         } else if (peer.isEmpty()) {
-            end(weightsKey, pull, Optional.empty(), false);
+            end(weightsKey, pull, new PullOutcome.Unreachable());
         } else {
             pullFromPeer(weightsKey, pull, chunk, peer.get());
         }
@@ -124,16 +126,17 @@
                     if (error != null) {
                         originFailures.incrementAndGet();
                     }
-                    end(weightsKey, pull, Optional.ofNullable(content), error == null);
+                    end(
+                            weightsKey,
+                            pull,
+                            error == null ? new PullOutcome.Came(ByteBuffer.wrap(content)) : new PullOutcome.Missing());
                 });
     }
 
     private void pullFromPeer(String weightsKey, Pull pull, Chunk chunk, Peer peer) {
         Duration timeout = pull.patient() ? PATIENT_TIMEOUT : PEER_TIMEOUT;
         links.to(peer).thenCompose(link -> ask(link, pull, chunk, timeout)).whenComplete((answer, error) -> {
-            boolean found = error == null && answer.getFound();
-            Optional<byte[]> content = found ? Optional.of(answer.getContent().toByteArray()) : Optional.empty();
-            end(weightsKey, pull, content, error == null);
+            end(weightsKey, pull, error == null ? outcomeOf(answer) : new PullOutcome.Unreachable());
         });
     }
 
@@ -151,8 +154,15 @@
         });
     }
 
-    private void end(String weightsKey, Pull pull, Optional<byte[]> content, boolean reachable) {
-        controller.offer(new WeightsEvent.PullEnded(weightsKey, pull, content, reachable));
+    private static PullOutcome outcomeOf(ChunkAnswer answer) {
+        if (answer.getFound()) {
+            return new PullOutcome.Came(answer.getContent().asReadOnlyByteBuffer());
+        }
+        return answer.getBusy() ? new PullOutcome.Busy() : new PullOutcome.Missing();
+    }
+
+    private void end(String weightsKey, Pull pull, PullOutcome outcome) {
+        controller.offer(new WeightsEvent.PullEnded(weightsKey, pull, outcome));
     }
 
     private final class Following implements WireLink.ExchangeListener {
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -93,7 +93,7 @@
                 memory,
                 settings.vmLinkBytesPerSecond(),
                 settings.regionLinkBytesPerSecond(),
-                weights::regionMembers,
+                weights::regionShare,
                 metrics);
         this.tickets = TicketController.start(self.name(), decisions, assignment -> assign(settings, assignment));
         Supplier<Serving> serving = () -> engine.map(EngineController::serving).orElseGet(this::servedService);
--- a/galenahinge/src/main/java/org/galenahinge/slot/UploadController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/UploadController.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 import org.galenahinge.concurrent.Controller;
 import org.galenahinge.limit.TokenBucket;
 import org.galenahinge.weights.ChunkMemory;
@@ -29,7 +29,10 @@
  */
 final class UploadController implements AutoCloseable {
     private static final int RING = 1_024;
-    private static final int MAXIMUM_READY = 64;
+    /** Few may wait for the link: a peer that would wait long finds the chunk elsewhere sooner. */
+    private static final int MAXIMUM_READY = 4;
+
+    private static final int MAXIMUM_READY_FOR_OTHER_REGIONS = 256;
     private static final int MAXIMUM_PATIENT = 1_024;
     private static final Duration TICK = Duration.ofMillis(5);
     private static final Duration PATIENT_CHECK = Duration.ofMillis(20);
@@ -44,21 +47,21 @@
     private final List<Ask> patient = new ArrayList<>();
     private final Counter sentBytes;
     private final long regionBytesPerSecond;
-    private final IntSupplier regionMembers;
+    private final DoubleSupplier regionShare;
     private final Deque<Ask> readyForOtherRegions = new ArrayDeque<>();
     private TokenBucket link;
     private TokenBucket regionLink;
-    private int sharers = 1;
+    private double share = 1;
 
     private UploadController(
             ChunkMemory memory,
             long bytesPerSecond,
             long regionBytesPerSecond,
-            IntSupplier regionMembers,
+            DoubleSupplier regionShare,
             MetricRegistry metrics) {
         this.memory = memory;
         this.regionBytesPerSecond = regionBytesPerSecond;
-        this.regionMembers = regionMembers;
+        this.regionShare = regionShare;
         this.link = bucket(bytesPerSecond);
         this.regionLink = bucket(regionBytesPerSecond);
         this.sentBytes = metrics.counter("weights.sent.bytes");
@@ -71,7 +74,7 @@
      * @param memory holds the chunks
      * @param bytesPerSecond the budget of the own link
      * @param regionBytesPerSecond the budget that all VMs of the own region share towards other regions
-     * @param regionMembers how many VMs of the own region share it
+     * @param regionShare the part of that budget that this VM may use, from 0 to 1
      * @param metrics counts the bytes
      * @return the running controller
      */
@@ -79,13 +82,13 @@
             ChunkMemory memory,
             long bytesPerSecond,
             long regionBytesPerSecond,
-            IntSupplier regionMembers,
+            DoubleSupplier regionShare,
             MetricRegistry metrics) {
         return new UploadController(
                 Objects.requireNonNull(memory, "memory"),
                 bytesPerSecond,
                 regionBytesPerSecond,
-                Objects.requireNonNull(regionMembers, "regionMembers"),
+                Objects.requireNonNull(regionShare, "regionShare"),
                 metrics);
     }
 
@@ -142,8 +145,8 @@
 
     private void enqueue(Ask ask) {
         Deque<Ask> queue = ask.otherRegion() ? readyForOtherRegions : ready;
-        if (queue.size() >= MAXIMUM_READY) {
-            refuse(ask);
+        if (queue.size() >= (ask.otherRegion() ? MAXIMUM_READY_FOR_OTHER_REGIONS : MAXIMUM_READY)) {
+            reply(ask, ChunkAnswer.newBuilder().setBusy(true));
             return;
         }
         queue.add(ask);
@@ -166,10 +169,10 @@
     }
 
     private void shareRegionLink() {
-        int members = Math.max(1, regionMembers.getAsInt());
-        if (members != sharers) {
-            sharers = members;
-            regionLink = bucket(regionBytesPerSecond / (double) members);
+        double allowed = regionShare.getAsDouble();
+        if (allowed != share) {
+            share = allowed;
+            regionLink = bucket(regionBytesPerSecond * allowed);
         }
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/slot/WeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/WeightsController.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -20,6 +21,7 @@
 import org.galenahinge.limit.TokenBucket;
 import org.galenahinge.log.DecisionLog;
 import org.galenahinge.membership.Vm;
+import org.galenahinge.slot.WeightsEvent.PullOutcome;
 import org.galenahinge.ticket.TicketGroup.ModelWorkload;
 import org.galenahinge.weights.ChunkMemory;
 import org.galenahinge.weights.ChunkMemory.Keeping;
@@ -48,6 +50,7 @@
     private static final long FOLLOWING_NANOS = TimeUnit.MINUTES.toNanos(1);
 
     private static final long MANIFEST_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long LEAST_SHARE_DIVISOR = 10;
     private static final double BURST_SECONDS = 0.05;
 
     private final Vm self;
@@ -68,7 +71,7 @@
     private TokenBucket link;
     private long manifestRetryNanos;
     private boolean possessionChanged;
-    private volatile int regionMembers = 1;
+    private volatile double regionShare = 1;
     private volatile Progress progress = Progress.NONE;
 
     private WeightsController(
@@ -119,9 +122,9 @@
         return controller.offer(event);
     }
 
-    /** How many VMs of the group are in the own region, this one among them. */
-    int regionMembers() {
-        return regionMembers;
+    /** The part of the own region's budget towards other regions that this VM may use, from 0 to 1. */
+    double regionShare() {
+        return regionShare;
     }
 
     Progress progress() {
@@ -172,9 +175,6 @@
     private void want(Optional<Assignment> next) {
         String before = wantedModel().map(ModelWorkload::weightsKey).orElse("");
         assignment = next;
-        regionMembers = (int) members().stream()
-                .filter(member -> member.region().equals(self.region()))
-                .count();
         String now = wantedModel().map(ModelWorkload::weightsKey).orElse("");
         if (!before.equals(now)) {
             copy = Optional.empty();
@@ -184,7 +184,18 @@
             progress = new Progress(now, 0, 0);
             return;
         }
-        copy.ifPresent(held -> held.plan().members(members()));
+        copy.ifPresent(held -> {
+            held.plan().members(members());
+            shareRegionLink(held.plan());
+        });
+    }
+
+    /** A VM that draws nothing itself may still have to step in for another, so its part is never nothing. */
+    private void shareRegionLink(PullPlan plan) {
+        long members = members().stream()
+                .filter(member -> member.region().equals(self.region()))
+                .count();
+        regionShare = Math.max(plan.shareOfDrawnChunks(), 1.0 / (LEAST_SHARE_DIVISOR * members));
     }
 
     private void readManifest(long now) {
@@ -209,6 +220,7 @@
             }
         }
         copy = Optional.of(new Copy(manifest, plan));
+        shareRegionLink(plan);
         possessionChanged = true;
         decisions.record(
                 manifest.key(),
@@ -238,9 +250,6 @@
         }
         for (Pull pull : held.plan().next(now)) {
             Chunk chunk = held.manifest().distinct().get(pull.chunk());
-            if (!pull.patient()) {
-                link = link.spend(chunk.bytes(), now);
-            }
             Optional<Peer> peer =
                     pull.source() instanceof PullPlan.Source.Peer source ? peer(source.vm()) : Optional.empty();
             executor.pull(held.manifest().key(), pull, chunk, peer);
@@ -254,19 +263,28 @@
         }
         PullPlan plan = held.get().plan();
         long now = System.nanoTime();
-        if (event.content().isEmpty()) {
-            pullFailed(plan, event, now);
+        PullOutcome outcome = event.outcome();
+        if (outcome instanceof PullOutcome.Came came) {
+            keep(held.get(), event.pull(), bytesOf(came.content()), now);
+        } else if (outcome instanceof PullOutcome.Busy) {
+            plan.busy(event.pull(), now);
         } else {
-            keep(held.get(), event.pull(), event.content().get(), now);
+            pullFailed(plan, event.pull(), outcome, now);
         }
         pullMore(held.get(), now);
     }
 
-    private static void pullFailed(PullPlan plan, WeightsEvent.PullEnded event, long now) {
-        if (!event.reachable() && event.pull().source() instanceof PullPlan.Source.Peer peer) {
+    private static byte[] bytesOf(ByteBuffer content) {
+        byte[] bytes = new byte[content.remaining()];
+        content.get(bytes);
+        return bytes;
+    }
+
+    private static void pullFailed(PullPlan plan, Pull pull, PullOutcome outcome, long now) {
+        if (outcome instanceof PullOutcome.Unreachable && pull.source() instanceof PullPlan.Source.Peer peer) {
             plan.unreachable(peer.vm(), now);
         }
-        plan.failed(event.pull(), now);
+        plan.failed(pull, now);
     }
 
     private void keep(Copy held, Pull pull, byte[] content, long now) {
@@ -285,8 +303,8 @@
         }
         boolean fromOrigin = pull.source() instanceof PullPlan.Source.Origin;
         (fromOrigin ? originBytes : peerBytes).inc(content.length);
+        link = link.spend(content.length, now);
         if (pull.patient()) {
-            link = link.spend(content.length, now);
             crossRegionBytes.inc(content.length);
         }
         held.plan().ended(pull);
--- a/galenahinge/src/main/java/org/galenahinge/slot/WeightsEvent.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/WeightsEvent.java
@@ -1,5 +1,6 @@
 package org.galenahinge.slot;
 
+import java.nio.ByteBuffer;
 import java.util.BitSet;
 import java.util.Optional;
 import org.galenahinge.weights.PullPlan.Pull;
@@ -21,8 +22,22 @@
     record NeighbourLost(String vm, String weightsKey) implements WeightsEvent {}
 
     /** A pull ended, with the chunk's content or without. */
-    record PullEnded(String weightsKey, Pull pull, Optional<byte[]> content, boolean reachable)
-            implements WeightsEvent {}
+    record PullEnded(String weightsKey, Pull pull, PullOutcome outcome) implements WeightsEvent {}
+
+    /** What became of a pull. */
+    sealed interface PullOutcome {
+        /** The source sent what should be the chunk; it must not be changed. */
+        record Came(ByteBuffer content) implements PullOutcome {}
+
+        /** The source has the chunk, but its link is busy. */
+        record Busy() implements PullOutcome {}
+
+        /** The source does not have the chunk, or was too late. */
+        record Missing() implements PullOutcome {}
+
+        /** The source cannot be reached. */
+        record Unreachable() implements PullOutcome {}
+    }
 
     /** A peer wants to hear what this VM holds. */
     record Followed(WireLink peer, long correlation, String weightsKey) implements WeightsEvent {}
--- a/galenahinge/src/main/java/org/galenahinge/weights/PullPlan.java
+++ b/galenahinge/src/main/java/org/galenahinge/weights/PullPlan.java
@@ -34,6 +34,7 @@
     private final Map<Integer, List<Flight>> flights = new HashMap<>();
     private final Map<String, Integer> outstanding = new HashMap<>();
     private final Map<String, Long> avoidUntilNanos = new HashMap<>();
+    private final Map<String, Long> busyUntilNanos = new HashMap<>();
     private final int[] order;
     private Map<String, List<String>> regions = Map.of();
     private String ownRegion = "";
@@ -96,6 +97,25 @@
         return neighbours;
     }
 
+    /**
+     * Returns the part of the chunks that the own region draws from the origin which this VM draws. Every VM of the
+     * region computes the same parts, so together they use the region's links to others fully and no more.
+     *
+     * @return from 0 to 1
+     */
+    public double shareOfDrawnChunks() {
+        int byRegion = 0;
+        int bySelf = 0;
+        for (int chunk = 0; chunk < ranks.length; chunk++) {
+            Ranks rank = ranksOf(chunk);
+            if (drawingRegions(rank).contains(ownRegion)) {
+                byRegion++;
+                bySelf += rank.own().get(0).equals(self) ? 1 : 0;
+            }
+        }
+        return byRegion == 0 ? 0 : bySelf / (double) byRegion;
+    }
+
     /**
      * Takes in what a neighbour holds.
      *
@@ -157,6 +177,19 @@
         }
     }
 
+    /**
+     * Takes in that a source has the chunk but is busy; it is left alone for a moment.
+     *
+     * @param pull the pull
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void busy(Pull pull, long nowNanos) {
+        ended(pull);
+        if (pull.source() instanceof Source.Peer peer) {
+            busyUntilNanos.put(peer.vm(), nowNanos + limits.busyNanos());
+        }
+    }
+
     /**
      * Tells whether all chunks are held.
      *
@@ -328,7 +361,8 @@
         String best = null;
         int least = limits.pullsPerPeer();
         for (Map.Entry<String, BitSet> entry : possession.entrySet()) {
-            if (!entry.getValue().get(chunk) || isAvoided(entry.getKey(), nowNanos)) {
+            boolean free = !isAvoided(entry.getKey(), nowNanos) && !isBusy(entry.getKey(), nowNanos);
+            if (!entry.getValue().get(chunk) || !free) {
                 continue;
             }
             int busy = outstanding.getOrDefault(entry.getKey(), 0);
@@ -354,11 +388,11 @@
     /** The VM that this one asks for a chunk that must come from outside its region; itself when that is the origin. */
     private String drawerFor(int chunk, long nowNanos) {
         Ranks rank = ranksOf(chunk);
-        int first = Math.min(limits.originCopies(), rank.regions().size());
-        if (rank.regions().subList(0, first).contains(ownRegion)) {
+        List<String> drawing = drawingRegions(rank);
+        if (drawing.contains(ownRegion)) {
             return self;
         }
-        String region = rank.regions().get(Math.floorMod(Rendezvous.key(ownRegion), first));
+        String region = drawing.get(Math.floorMod(Rendezvous.key(ownRegion), drawing.size()));
         for (String vm : ranked(regions.get(region), chunk)) {
             if (!isAvoided(vm, nowNanos)) {
                 return vm;
@@ -367,6 +401,11 @@
         return "";
     }
 
+    private List<String> drawingRegions(Ranks rank) {
+        return rank.regions()
+                .subList(0, Math.min(limits.originCopies(), rank.regions().size()));
+    }
+
     private Ranks ranksOf(int chunk) {
         if (ranks[chunk] == null) {
             List<String> byRank = new ArrayList<>(regions.keySet());
@@ -398,7 +437,15 @@
     }
 
     private boolean isAvoided(String vm, long nowNanos) {
-        Long until = avoidUntilNanos.get(vm);
+        return isLater(avoidUntilNanos.get(vm), nowNanos);
+    }
+
+    /** A busy source is alive: nobody steps in for it. */
+    private boolean isBusy(String vm, long nowNanos) {
+        return isLater(busyUntilNanos.get(vm), nowNanos);
+    }
+
+    private static boolean isLater(Long until, long nowNanos) {
         return until != null && until - nowNanos > 0;
     }
 
@@ -485,6 +532,7 @@
      * @param stallNanos how long without progress before the next in rank steps in, in nanoseconds
      * @param duplicateAfterNanos how long before a late final chunk is asked for twice, in nanoseconds
      * @param avoidNanos how long a source that failed is avoided, in nanoseconds
+     * @param busyNanos how long a source that is busy is left alone, in nanoseconds
      */
     public record Limits(
             int originCopies,
@@ -496,7 +544,8 @@
             int finalChunks,
             long stallNanos,
             long duplicateAfterNanos,
-            long avoidNanos) {
+            long avoidNanos,
+            long busyNanos) {
         private static final long NANOS_PER_MILLI = 1_000_000;
 
         /** Checks the bounds. */
@@ -513,17 +562,8 @@
          * @return the bounds
          */
         public static Limits forOriginCopies(int originCopies) {
-            return new Limits(
-                    originCopies,
-                    2,
-                    6,
-                    6,
-                    2,
-                    12,
-                    8,
-                    2_000 * NANOS_PER_MILLI,
-                    1_000 * NANOS_PER_MILLI,
-                    1_000 * NANOS_PER_MILLI);
+            long second = 1_000 * NANOS_PER_MILLI;
+            return new Limits(originCopies, 2, 6, 6, 2, 12, 8, 2 * second, second, second, 60 * NANOS_PER_MILLI);
         }
     }
 }
