Let news of a silent member reach all members within seconds

Each member began with a number of its own while others held it at 0, so a suspicion at 0 could not win over those who had heard its number; and each first contact was repeated to others as news, which delayed what mattered.

Change: every member begins at number 0, as the list does, and takes the next number when it hears that it is held for silent; only a change of status is repeated.

--- a/bench/src/main/java/org/galenahinge/bench/ExperimentMain.java
+++ b/bench/src/main/java/org/galenahinge/bench/ExperimentMain.java
@@ -21,6 +21,7 @@
             OverloadExperiment.EXPERIMENT,
             RoutingExperiment.EXPERIMENT,
             SpreadExperiment.EXPERIMENT,
+            MembershipExperiment.EXPERIMENT,
             FailoverExperiment.EXPERIMENT);
 
     private ExperimentMain() {}
--- a/bench/src/main/java/org/galenahinge/bench/OrderCall.java
+++ b/bench/src/main/java/org/galenahinge/bench/OrderCall.java
@@ -30,6 +30,7 @@
     private final String organisation;
     private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
     private final Set<String> failed = new HashSet<>();
+    private volatile String keyOwner = "";
     private int keys;
     private int repeats;
 
@@ -48,7 +49,7 @@
         call.askKey();
         return call.outcome.whenComplete((value, error) -> {
             Outcome ended = error == null ? value : Outcome.NO_VERDICT;
-            ledger.order(order, dueNanos, ended);
+            ledger.order(order, call.keyOwner, dueNanos, ended);
             if (ended == Outcome.ANSWERED) {
                 ledger.orderTime(System.nanoTime() - dueNanos);
             }
@@ -80,6 +81,7 @@
     }
 
     private void call(String key, String entry) {
+        keyOwner = key.substring(0, Math.max(0, key.indexOf('~')));
         ObjectNode body = HttpTool.JSON.createObjectNode().put("order", order);
         int attempt = ++repeats;
         send(entry, "/v1/services/orders/confirm", body.toString(), Optional.of(key), attempt)
--- a/bench/src/main/java/org/galenahinge/bench/OverloadExperiment.java
+++ b/bench/src/main/java/org/galenahinge/bench/OverloadExperiment.java
@@ -44,6 +44,8 @@
                 result.point("goodput", factor, goodput)
                         .figure(Figure.of("goodput_at_" + factor, goodput))
                         .figure(Figure.of("first_token_p95_ms_at_" + factor, ledger.firstTokenMillis(95)))
+                        .figure(Figure.of("not_run_at_" + factor, ledger.drafts(Outcome.NOT_RUN)))
+                        .figure(Figure.of("no_verdict_at_" + factor, ledger.drafts(Outcome.NO_VERDICT)))
                         .figure(Figure.of("small_served_at_" + factor, ledger.smallOrganisationsServed()));
             }
         }
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -115,12 +115,7 @@
                 FleetController.create(VmListClient.create(reader, settings.vmList()), this::fleetChanged, metrics);
         this.membership = new MembershipController(
                 self.name(),
-                MembershipCore.create(
-                        self.name(),
-                        MembershipCore.Timing.STANDARD,
-                        System.currentTimeMillis(),
-                        incarnation,
-                        System.nanoTime()),
+                MembershipCore.create(self.name(), MembershipCore.Timing.STANDARD, incarnation, System.nanoTime()),
                 this::sendDatagram,
                 () -> tickets.offer(new TicketEvent.Awake()),
                 metrics);
--- a/galenahinge/src/main/java/org/galenahinge/membership/MembershipCore.java
+++ b/galenahinge/src/main/java/org/galenahinge/membership/MembershipCore.java
@@ -49,10 +49,9 @@
     private boolean rejoining;
     private boolean leaving;
 
-    private MembershipCore(String self, Timing timing, long ownNumber, long seed, long nowNanos) {
+    private MembershipCore(String self, Timing timing, long seed, long nowNanos) {
         this.self = self;
         this.timing = timing;
-        this.ownNumber = ownNumber;
         this.random = new Random(seed);
         this.nextProbeNanos = nowNanos;
         this.lastTickNanos = nowNanos;
@@ -60,23 +59,18 @@
     }
 
     /**
-     * Creates a member that knows nobody.
+     * Creates a member that knows nobody. Its number begins at 0, as that of every listed member does; where others
+     * hold an earlier process of its VM for dead, it hears so with the first ping and takes the next number.
      *
      * @param self the own VM's name
      * @param timing how often and how long
-     * @param ownNumber a number that should be higher than that of earlier processes of this VM; if it is not, this
-     *     member raises it as soon as it hears so
      * @param seed the seed of all that is random
      * @param nowNanos the time, in nanoseconds
      * @return the member
      */
-    public static MembershipCore create(String self, Timing timing, long ownNumber, long seed, long nowNanos) {
+    public static MembershipCore create(String self, Timing timing, long seed, long nowNanos) {
         return new MembershipCore(
-                Objects.requireNonNull(self, "self"),
-                Objects.requireNonNull(timing, "timing"),
-                ownNumber,
-                seed,
-                nowNanos);
+                Objects.requireNonNull(self, "self"), Objects.requireNonNull(timing, "timing"), seed, nowNanos);
     }
 
     /**
@@ -338,7 +332,10 @@
             throw new IllegalStateException("the number of member " + member.vm() + " fell");
         }
         members.put(member.vm(), member);
-        repeatsLeft.put(member.vm(), repeats());
+        // A higher number alone changes nothing for others; repeating it would delay what does.
+        if (known == null || known.status() != member.status()) {
+            repeatsLeft.put(member.vm(), repeats());
+        }
     }
 
     private int repeats() {
