Read an unfenced engine again before each order, and split what had grown

Cause: reading as a newcomer found a setting that nothing used (whether the upstream checks fencing numbers), ticket frames made in two places, and the pull plan and the entry's ticket controller at 569 and 487 lines.

--- a/bench/src/main/java/org/galenahinge/bench/DemoMain.java
+++ b/bench/src/main/java/org/galenahinge/bench/DemoMain.java
@@ -1,15 +1,10 @@
 package org.galenahinge.bench;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -22,7 +17,6 @@
     private static final int CHUNK_BYTES = 256 << 10;
     private static final long LINK_RATE = 20_000_000;
     private static final long STOP_LIMIT_SECONDS = 25;
-    private static final Duration READY_LIMIT = Duration.ofSeconds(40);
     private static final Duration ANSWER_LIMIT = Duration.ofSeconds(25);
     private static final long PHASE_MILLIS = 3_000;
 
@@ -81,9 +75,9 @@
     private static void run(LocalFleet fleet, DemoReport report, long seed, boolean keep) {
         long publishedNanos = System.nanoTime();
         fleet.publish(1, fleet.ticket(1, "1"));
-        boolean inForce = awaitTicket(fleet, 1);
+        boolean inForce = Fleets.awaitTicket(fleet, 1);
         report.ticket(1, inForce, elapsedMillis(publishedNanos));
-        boolean ready = awaitReady(fleet, "1");
+        boolean ready = Fleets.awaitReady(fleet, "1");
         report.spread(ready, elapsedMillis(publishedNanos), originCopies(fleet));
         if (keep) {
             printKept(fleet);
@@ -99,7 +93,7 @@
             killOne(fleet, "upstream", 0);
             HttpTool.pause(PHASE_MILLIS);
             report.unanswered(load.stop(ANSWER_LIMIT));
-            report.load(load.sent(), ledger, ledger.audit(executions(fleet)), violations(fleet));
+            report.load(load.sent(), ledger, ledger.audit(Fleets.executions(fleet)), Fleets.violations(fleet));
         }
         report.memory(fleet);
         report.stop(fleet.stopGracefully(STOP_LIMIT_SECONDS));
@@ -111,24 +105,6 @@
         fleet.process(node).kill();
     }
 
-    static boolean awaitTicket(LocalFleet fleet, long number) {
-        String url = fleet.nodes("entry").get(0).url() + "/v1/operations/tickets/" + number;
-        return HttpTool.await(url, status -> status.path("state").asText().equals("in-force"), READY_LIMIT)
-                .isPresent();
-    }
-
-    static boolean awaitReady(LocalFleet fleet, String version) {
-        String url = fleet.nodes("entry").get(0).url() + "/v1/operations/models/"
-                + fleet.profile().model() + "/" + version;
-        return HttpTool.await(
-                        url,
-                        progress -> progress.path("replicasReady").asInt() > 0
-                                && progress.path("replicasReady").asInt()
-                                        == progress.path("replicasWanted").asInt(),
-                        READY_LIMIT)
-                .isPresent();
-    }
-
     private static double originCopies(LocalFleet fleet) {
         long served = HttpTool.get(fleet.originUrl() + "/statistics")
                 .map(statistics -> statistics.path("bytesServed").asLong())
@@ -136,23 +112,6 @@
         return served / ((double) CHUNKS * CHUNK_BYTES);
     }
 
-    static Map<String, Long> executions(LocalFleet fleet) {
-        Map<String, Long> total = new HashMap<>();
-        for (Node node : fleet.orders()) {
-            Optional<JsonNode> reported = HttpTool.get(fleet.upstreamUrl(node) + "/executions");
-            reported.ifPresent(document -> Ledger.addExecutions(total, document));
-        }
-        return total;
-    }
-
-    static List<String> violations(LocalFleet fleet) {
-        List<String> lines = new ArrayList<>();
-        for (Node node : fleet.nodes("upstream")) {
-            fleet.upstream(node).logLinesWith("VIOLATION").forEach(line -> lines.add(node.name() + ": " + line));
-        }
-        return lines;
-    }
-
     private static long elapsedMillis(long sinceNanos) {
         return Duration.ofNanos(System.nanoTime() - sinceNanos).toMillis();
     }
--- a/bench/src/main/java/org/galenahinge/bench/FailoverExperiment.java
+++ b/bench/src/main/java/org/galenahinge/bench/FailoverExperiment.java
@@ -46,7 +46,7 @@
             }
             load.stop(Duration.ofSeconds(20));
         }
-        Ledger.Audit audit = ledger.audit(DemoMain.executions(fleet));
+        Ledger.Audit audit = ledger.audit(Fleets.executions(fleet));
         result.figure(Figure.of("rolling_answered", ledger.drafts(Outcome.ANSWERED) + ledger.orders(Outcome.ANSWERED)))
                 .figure(Figure.atMost("rolling_cut_off", cutOff(ledger), 0))
                 .figure(Figure.of("rolling_not_run", ledger.drafts(Outcome.NOT_RUN) + ledger.orders(Outcome.NOT_RUN)))
--- a/galenahinge/src/main/java/org/galenahinge/entry/Dispatcher.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/Dispatcher.java
@@ -45,7 +45,7 @@
         this.links = Objects.requireNonNull(links, "links");
         this.fleet = Objects.requireNonNull(fleet, "fleet");
         this.decisions = Objects.requireNonNull(decisions, "decisions");
-        this.listener = new Listener(routing);
+        this.listener = new Listener(routing, decisions);
     }
 
     CompletionStage<Answer> attempt(Call call, Set<String> excluded) {
@@ -146,14 +146,17 @@
         record Refused(Verdict.NotRun verdict) implements PermitResult {}
     }
 
-    private record Listener(RoutingController routing) implements SlotCall.Listener {
+    private record Listener(RoutingController routing, DecisionLog decisions) implements SlotCall.Listener {
         @Override
         public void firstByte(String vm, long latencyNanos) {
             routing.firstByte(vm, latencyNanos);
         }
 
         @Override
-        public void ended(String vm, Verdict verdict, int load) {
+        public void ended(Call call, String vm, Verdict verdict, int load) {
+            if (!(verdict instanceof Verdict.Answered)) {
+                decisions.record(call.requestId(), "end", List.of(), vm, verdict.toString());
+            }
             routing.finished(vm, verdict);
             if (!(verdict instanceof Verdict.MayHaveRun)) {
                 routing.loadSeen(vm, load);
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -37,6 +37,7 @@
 import org.galenahinge.wire.LinkRegistry;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.Peers;
+import org.galenahinge.wire.TicketFrames;
 import org.galenahinge.wire.WireAddress;
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.WireNetwork;
@@ -323,7 +324,7 @@
                 .setReady(isReady())
                 .setLeaving(leaving)
                 .addAllGroups(tickets.state().groupsInForce().stream()
-                        .map(TicketController::digestOf)
+                        .map(TicketFrames::digestOf)
                         .toList())
                 .addAllSlots(slots.all())
                 .build();
--- a/galenahinge/src/main/java/org/galenahinge/entry/SlotCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/SlotCall.java
@@ -62,7 +62,7 @@
     interface Listener {
         void firstByte(String vm, long latencyNanos);
 
-        void ended(String vm, Verdict verdict, int load);
+        void ended(Call call, String vm, Verdict verdict, int load);
     }
 
     /**
@@ -200,7 +200,7 @@
         }
         link.end(correlation);
         timer.ifPresent(Cancellable::cancel);
-        listener.ended(vm, verdict, load);
+        listener.ended(call, vm, verdict, load);
         if (!(verdict instanceof Verdict.Answered)) {
             cancelAtSlot();
         }
--- a/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
@@ -2,9 +2,6 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.hash.Hashing;
-import com.google.protobuf.ByteString;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,13 +30,12 @@
 import org.galenahinge.ticket.TicketResult;
 import org.galenahinge.ticket.TicketState;
 import org.galenahinge.ticket.TicketState.GroupInForce;
+import org.galenahinge.wire.TicketFrames;
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.generated.Frame;
 import org.galenahinge.wire.generated.GroupDigest;
 import org.galenahinge.wire.generated.Peer;
 import org.galenahinge.wire.generated.SlotState;
-import org.galenahinge.wire.generated.TicketContent;
-import org.galenahinge.wire.generated.TicketDelivery;
 import org.galenahinge.wire.generated.TicketDigest;
 import org.galenahinge.wire.generated.TicketRequest;
 import org.jboss.logging.Logger;
@@ -192,7 +188,7 @@
         } else if (event instanceof TicketEvent.Awake) {
             nextCompareNanos = System.nanoTime();
         } else if (event instanceof TicketEvent.EntryLinked linked) {
-            linked.link().send(digestFrame(state.groupsInForce(), true));
+            linked.link().send(TicketFrames.digest(state.groupsInForce(), true));
         }
     }
 
@@ -270,7 +266,7 @@
                                         ticket, ticket.group(group).orElseThrow()))
                                 .stream())
                 .toList();
-        Frame announcement = digestFrame(groups, false);
+        Frame announcement = TicketFrames.digest(groups, false);
         entryLinks.get().forEach(link -> link.send(announcement));
         pushAll();
     }
@@ -318,7 +314,8 @@
         if (links.isEmpty()) {
             return;
         }
-        TicketDigest root = TicketDigest.newBuilder().setRoot(rootOf(state)).build();
+        TicketDigest root =
+                TicketDigest.newBuilder().setRoot(TicketFrames.rootOf(state)).build();
         links.get(random.nextInt(links.size()))
                 .send(Frame.newBuilder().setTicketDigest(root).build());
     }
@@ -326,8 +323,8 @@
     private void compare(WireLink link, TicketDigest digest) {
         boolean onlyRoot = digest.getGroupsCount() == 0 && !digest.getFull();
         if (onlyRoot) {
-            if (digest.getRoot() != rootOf(state)) {
-                link.send(digestFrame(state.groupsInForce(), true));
+            if (digest.getRoot() != TicketFrames.rootOf(state)) {
+                link.send(TicketFrames.digest(state.groupsInForce(), true));
             }
             return;
         }
@@ -341,7 +338,7 @@
     private void askForMissing(WireLink link, TicketDigest digest) {
         List<String> wanted = new ArrayList<>();
         for (GroupDigest group : digest.getGroupsList()) {
-            if (isNewer(group, state.ticketOf(group.getGroup()))) {
+            if (TicketFrames.isNewer(group, state.ticketOf(group.getGroup()))) {
                 wanted.add(group.getGroup());
             }
         }
@@ -357,12 +354,12 @@
         digest.getGroupsList().forEach(group -> theirs.put(group.getGroup(), group));
         Map<Long, Ticket> missing = new TreeMap<>();
         for (GroupInForce own : state.groupsInForce()) {
-            if (isOlder(theirs.get(own.content().group()), own.ticket())) {
+            if (TicketFrames.isOlder(theirs.get(own.content().group()), own.ticket())) {
                 missing.put(own.ticket().number(), own.ticket());
             }
         }
         if (!missing.isEmpty()) {
-            link.send(deliveryFrame(List.copyOf(missing.values()), List.of()));
+            link.send(TicketFrames.delivery(List.copyOf(missing.values()), List.of()));
         }
     }
 
@@ -371,7 +368,7 @@
         for (String group : asked.request().getTicketRequest().getGroupsList()) {
             state.ticketOf(group).ifPresent(ticket -> wanted.put(ticket.number(), ticket));
         }
-        asked.link().send(deliveryFrame(List.copyOf(wanted.values()), List.of()));
+        asked.link().send(TicketFrames.delivery(List.copyOf(wanted.values()), List.of()));
     }
 
     private void pushAll() {
@@ -389,7 +386,7 @@
         for (GroupInForce group : state.groupsInForce()) {
             String name = group.content().group();
             boolean concerns = held.containsKey(name) || group.content().vms().contains(reported.getVm());
-            if (concerns && isOlder(held.get(name), group.ticket())) {
+            if (concerns && TicketFrames.isOlder(held.get(name), group.ticket())) {
                 missing.put(group.ticket().number(), group.ticket());
             }
         }
@@ -397,7 +394,7 @@
         if (missing.isEmpty() && peers.equals(push.peers)) {
             return;
         }
-        if (link.send(deliveryFrame(List.copyOf(missing.values()), peers))) {
+        if (link.send(TicketFrames.delivery(List.copyOf(missing.values()), peers))) {
             push.peers = peers;
         }
     }
@@ -424,61 +421,6 @@
                 .build();
     }
 
-    private static boolean isNewer(GroupDigest theirs, Optional<Ticket> own) {
-        return own.isEmpty() || order(theirs, own.get()) > 0;
-    }
-
-    private static boolean isOlder(GroupDigest theirs, Ticket own) {
-        return theirs == null || order(theirs, own) < 0;
-    }
-
-    /** Orders as the join does: the higher number first, then the smaller content hash. */
-    private static int order(GroupDigest theirs, Ticket own) {
-        if (theirs.getNumber() != own.number()) {
-            return Long.compare(theirs.getNumber(), own.number());
-        }
-        return own.contentHash().compareTo(theirs.getContentHash().toStringUtf8());
-    }
-
-    private static Frame digestFrame(List<GroupInForce> groups, boolean full) {
-        TicketDigest.Builder digest = TicketDigest.newBuilder().setFull(full);
-        groups.forEach(group -> digest.addGroups(digestOf(group)));
-        return Frame.newBuilder().setTicketDigest(digest).build();
-    }
-
-    static GroupDigest digestOf(GroupInForce group) {
-        return GroupDigest.newBuilder()
-                .setGroup(group.content().group())
-                .setNumber(group.ticket().number())
-                .setContentHash(ByteString.copyFrom(group.ticket().contentHash(), StandardCharsets.US_ASCII))
-                .build();
-    }
-
-    private static Frame deliveryFrame(List<Ticket> tickets, List<Peer> peers) {
-        TicketDelivery.Builder delivery = TicketDelivery.newBuilder().addAllPeers(peers);
-        for (Ticket ticket : tickets) {
-            delivery.addTickets(TicketContent.newBuilder()
-                    .setNumber(ticket.number())
-                    .setJson(ByteString.copyFromUtf8(ticket.json())));
-        }
-        return Frame.newBuilder().setTicketDelivery(delivery).build();
-    }
-
-    private static long rootOf(TicketState state) {
-        long root = 0;
-        for (GroupInForce group : state.groupsInForce()) {
-            String line = group.content().group()
-                    + ' '
-                    + group.ticket().number()
-                    + ' '
-                    + group.ticket().contentHash();
-            root ^= Hashing.murmur3_128()
-                    .hashString(line, StandardCharsets.UTF_8)
-                    .asLong();
-        }
-        return root;
-    }
-
     /** What was last heard from and sent to a slot process. */
     private static final class SlotPush {
         private SlotState state = SlotState.getDefaultInstance();
--- a/galenahinge/src/main/java/org/galenahinge/log/LogSetup.java
+++ b/galenahinge/src/main/java/org/galenahinge/log/LogSetup.java
@@ -35,6 +35,8 @@
         root.setLevel(Level.toLevel(level.toUpperCase(Locale.ROOT), Level.INFO));
         root.addAppender(appender);
         context.getLogger("org.apache.pekko").setLevel(Level.WARN);
+        // It reports each streamed answer that is cut off on purpose; the decision log has those with their verdict.
+        context.getLogger("org.apache.pekko.actor.ActorSystemImpl").setLevel(Level.OFF);
         context.getLogger("io.netty").setLevel(Level.WARN);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/slot/EngineController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/EngineController.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -34,6 +35,7 @@
     private static final long FACTS_LAST_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final EngineClient engine;
+    private final boolean checksFencing;
     private final ChunkMemory memory;
     private final DecisionLog decisions;
     private final IntSupplier callsRunning;
@@ -54,12 +56,14 @@
 
     private EngineController(
             EngineClient engine,
+            boolean checksFencing,
             ChunkMemory memory,
             DecisionLog decisions,
             IntSupplier callsRunning,
             Predicate<Serving> publisher,
             ReloadTurn turn) {
         this.engine = engine;
+        this.checksFencing = checksFencing;
         this.memory = memory;
         this.decisions = decisions;
         this.callsRunning = callsRunning;
@@ -74,6 +78,7 @@
 
     static EngineController start(
             EngineClient engine,
+            boolean checksFencing,
             ChunkMemory memory,
             DecisionLog decisions,
             IntSupplier callsRunning,
@@ -81,6 +86,7 @@
             ReloadTurn turn) {
         return new EngineController(
                 Objects.requireNonNull(engine, "engine"),
+                checksFencing,
                 Objects.requireNonNull(memory, "memory"),
                 Objects.requireNonNull(decisions, "decisions"),
                 Objects.requireNonNull(callsRunning, "callsRunning"),
@@ -195,10 +201,21 @@
         loading = true;
         loadNotBeforeNanos = now + LOAD_RETRY_NANOS;
         Assignment assigned = assignment.orElseThrow();
-        report(
-                engine.load(
-                        complete.get(), memory, assigned.model().orElseThrow().role(), assigned.ticketNumber()),
-                Event.LoadEnded::new);
+        report(order(assigned), Event.LoadEnded::new);
+    }
+
+    /** An engine that does not check fencing numbers is read again just before the order, and left alone if it changed. */
+    private CompletionStage<Optional<EngineState>> order(Assignment assigned) {
+        ModelWorkload model = assigned.model().orElseThrow();
+        WeightsManifest manifest = complete.orElseThrow();
+        if (checksFencing) {
+            return engine.load(manifest, memory, model.role(), assigned.ticketNumber());
+        }
+        Optional<EngineState> decidedBy = state;
+        return engine.state()
+                .thenCompose(fresh -> fresh.equals(decidedBy)
+                        ? engine.load(manifest, memory, model.role(), assigned.ticketNumber())
+                        : CompletableFuture.completedFuture(fresh));
     }
 
     /** The last check before an order: every chunk is held, and was verified when it came. */
--- a/galenahinge/src/main/java/org/galenahinge/slot/ReloadTurn.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/ReloadTurn.java
@@ -25,7 +25,7 @@
 
     private final String self;
     private final PeerLinks links;
-    private volatile Readiness predecessor = new Readiness("", "", false, 0);
+    private volatile Readiness predecessor = new Readiness("", "", false);
     private volatile long lastHeardNanos = System.nanoTime();
     private long nextProbeNanos = System.nanoTime();
     private String watched = "";
@@ -90,10 +90,10 @@
 
     private void heard(String vm, ProbeAnswer answer) {
         lastHeardNanos = System.nanoTime();
-        predecessor = new Readiness(vm, answer.getLoadedKey(), answer.getReady(), lastHeardNanos);
+        predecessor = new Readiness(vm, answer.getLoadedKey(), answer.getReady());
     }
 
-    private record Readiness(String vm, String loadedKey, boolean ready, long readNanos) {
+    private record Readiness(String vm, String loadedKey, boolean ready) {
         boolean isDone(String wantedVm, String wantedKey) {
             return vm.equals(wantedVm) && loadedKey.equals(wantedKey) && ready;
         }
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -25,7 +25,7 @@
 import org.galenahinge.settings.SlotSettings.UpstreamKind;
 import org.galenahinge.ticket.TicketGroup.ServiceWorkload;
 import org.galenahinge.weights.ChunkMemory;
-import org.galenahinge.weights.PullPlan;
+import org.galenahinge.weights.PullLimits;
 import org.galenahinge.wire.LinkRegistry;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.Peers;
@@ -183,6 +183,7 @@
         }
         return Optional.of(EngineController.start(
                 EngineClient.create(threads, settings.upstream()),
+                settings.upstreamChecksFencing(),
                 memory,
                 decisions,
                 () -> calls.load().running(),
@@ -196,7 +197,7 @@
         return WeightsController.start(
                 settings.site().vm(),
                 memory,
-                PullPlan.Limits.forOriginCopies(settings.originCopies()),
+                PullLimits.forOriginCopies(settings.originCopies()),
                 settings.vmLinkBytesPerSecond(),
                 controller -> new PeerPulls(
                         controller,
--- a/galenahinge/src/main/java/org/galenahinge/slot/TicketController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/TicketController.java
@@ -1,7 +1,5 @@
 package org.galenahinge.slot;
 
-import com.google.protobuf.ByteString;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -12,7 +10,7 @@
 import org.galenahinge.ticket.Ticket;
 import org.galenahinge.ticket.TicketResult;
 import org.galenahinge.ticket.TicketState;
-import org.galenahinge.ticket.TicketState.GroupInForce;
+import org.galenahinge.wire.TicketFrames;
 import org.galenahinge.wire.generated.GroupDigest;
 import org.galenahinge.wire.generated.Peer;
 import org.galenahinge.wire.generated.TicketContent;
@@ -75,7 +73,7 @@
         if (delivery.getPeersCount() > 0) {
             peers = delivery.getPeersList();
         }
-        digest = digestOf(state);
+        digest = state.groupsInForce().stream().map(TicketFrames::digestOf).toList();
         announce();
     }
 
@@ -104,16 +102,4 @@
         }
         listener.accept(next);
     }
-
-    static List<GroupDigest> digestOf(TicketState state) {
-        return state.groupsInForce().stream().map(TicketController::digestOf).toList();
-    }
-
-    private static GroupDigest digestOf(GroupInForce group) {
-        return GroupDigest.newBuilder()
-                .setGroup(group.content().group())
-                .setNumber(group.ticket().number())
-                .setContentHash(ByteString.copyFrom(group.ticket().contentHash(), StandardCharsets.US_ASCII))
-                .build();
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/WeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/WeightsController.java
@@ -26,6 +26,7 @@
 import org.galenahinge.weights.ChunkMemory;
 import org.galenahinge.weights.ChunkMemory.Keeping;
 import org.galenahinge.weights.Manifest.Chunk;
+import org.galenahinge.weights.PullLimits;
 import org.galenahinge.weights.PullPlan;
 import org.galenahinge.weights.PullPlan.Member;
 import org.galenahinge.weights.PullPlan.Pull;
@@ -55,7 +56,7 @@
 
     private final Vm self;
     private final ChunkMemory memory;
-    private final PullPlan.Limits limits;
+    private final PullLimits limits;
     private final PullExecutor executor;
     private final DecisionLog decisions;
     private final Consumer<WeightsManifest> completed;
@@ -77,7 +78,7 @@
     private WeightsController(
             Vm self,
             ChunkMemory memory,
-            PullPlan.Limits limits,
+            PullLimits limits,
             long linkBytesPerSecond,
             Function<WeightsController, PullExecutor> executor,
             DecisionLog decisions,
@@ -101,7 +102,7 @@
     static WeightsController start(
             Vm self,
             ChunkMemory memory,
-            PullPlan.Limits limits,
+            PullLimits limits,
             long linkBytesPerSecond,
             Function<WeightsController, PullExecutor> executor,
             DecisionLog decisions,
--- a/galenahinge/src/main/java/org/galenahinge/weights/PullPlan.java
+++ b/galenahinge/src/main/java/org/galenahinge/weights/PullPlan.java
@@ -27,7 +27,7 @@
 
     private final String self;
     private final List<Long> chunkKeys;
-    private final Limits limits;
+    private final PullLimits limits;
     private final Random random;
     private final BitSet held = new BitSet();
     private final Map<String, BitSet> possession = new HashMap<>();
@@ -42,7 +42,7 @@
     private List<String> neighbours = List.of();
     private long lastProgressNanos;
 
-    private PullPlan(String self, List<Long> chunkKeys, Limits limits, long seed, long nowNanos) {
+    private PullPlan(String self, List<Long> chunkKeys, PullLimits limits, long seed, long nowNanos) {
         this.self = self;
         this.chunkKeys = chunkKeys;
         this.limits = limits;
@@ -61,7 +61,7 @@
      * @param nowNanos the time, in nanoseconds
      * @return the plan, without members
      */
-    public static PullPlan create(String self, List<String> chunkHashes, Limits limits, long seed, long nowNanos) {
+    public static PullPlan create(String self, List<String> chunkHashes, PullLimits limits, long seed, long nowNanos) {
         Objects.requireNonNull(self, "self");
         Objects.requireNonNull(limits, "limits");
         List<Long> keys = chunkHashes.stream().map(Rendezvous::key).toList();
@@ -91,7 +91,7 @@
     /**
      * Returns the VMs of the own region whose possession this VM follows.
      *
-     * @return at most {@link Limits#neighbours} names
+     * @return at most {@link PullLimits#neighbours} names
      */
     public List<String> neighbours() {
         return neighbours;
@@ -518,52 +518,4 @@
             }
         }
     }
-
-    /**
-     * Bounds what is asked for at once.
-     *
-     * @param originCopies how many copies of each chunk may be drawn from the origin: more is faster, fewer is cheaper
-     * @param originPulls the most pulls from the origin at once
-     * @param patientPulls the most requests waiting at gateways of other regions at once
-     * @param peerPulls the most pulls from neighbours at once
-     * @param pullsPerPeer the most pulls from one neighbour at once
-     * @param neighbours the most neighbours followed
-     * @param finalChunks how few chunks must be missing before late ones are asked for twice
-     * @param stallNanos how long without progress before the next in rank steps in, in nanoseconds
-     * @param duplicateAfterNanos how long before a late final chunk is asked for twice, in nanoseconds
-     * @param avoidNanos how long a source that failed is avoided, in nanoseconds
-     * @param busyNanos how long a source that is busy is left alone, in nanoseconds
-     */
-    public record Limits(
-            int originCopies,
-            int originPulls,
-            int patientPulls,
-            int peerPulls,
-            int pullsPerPeer,
-            int neighbours,
-            int finalChunks,
-            long stallNanos,
-            long duplicateAfterNanos,
-            long avoidNanos,
-            long busyNanos) {
-        private static final long NANOS_PER_MILLI = 1_000_000;
-
-        /** Checks the bounds. */
-        public Limits {
-            if (originCopies < 1 || originPulls < 1 || patientPulls < 1 || peerPulls < 1 || pullsPerPeer < 1) {
-                throw new IllegalArgumentException("every bound must be at least 1");
-            }
-        }
-
-        /**
-         * Returns the bounds for a given number of copies from the origin.
-         *
-         * @param originCopies how many copies of each chunk may be drawn from the origin
-         * @return the bounds
-         */
-        public static Limits forOriginCopies(int originCopies) {
-            long second = 1_000 * NANOS_PER_MILLI;
-            return new Limits(originCopies, 2, 6, 6, 2, 12, 8, 2 * second, second, second, 60 * NANOS_PER_MILLI);
-        }
-    }
 }
--- a/galenahinge/src/test/java/org/galenahinge/weights/PullPlanTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/weights/PullPlanTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.galenahinge.weights.PullPlan.Limits;
 import org.galenahinge.weights.PullPlan.Member;
 import org.galenahinge.weights.PullPlan.Pull;
 import org.galenahinge.weights.PullPlan.Source;
@@ -45,7 +44,7 @@
 
     @Test
     void doesNotPullAChunkThatIsHeldOrUnderWay() {
-        PullPlan plan = PullPlan.create("vm-0", List.of("a", "b"), Limits.forOriginCopies(1), 1, 0);
+        PullPlan plan = PullPlan.create("vm-0", List.of("a", "b"), PullLimits.forOriginCopies(1), 1, 0);
         plan.members(List.of(new Member("vm-0", "r")));
 
         assertThat(plan.next(1)).hasSize(2);
@@ -57,7 +56,7 @@
 
     @Test
     void asksElsewhereAfterASourceFailed() {
-        PullPlan plan = PullPlan.create("vm-0", List.of("a"), Limits.forOriginCopies(1), 1, 0);
+        PullPlan plan = PullPlan.create("vm-0", List.of("a"), PullLimits.forOriginCopies(1), 1, 0);
         List<Member> members = List.of(new Member("vm-0", "r"), new Member("vm-1", "r"), new Member("vm-2", "r"));
         plan.members(members);
         BitSet all = new BitSet();
@@ -73,7 +72,7 @@
 
     @Test
     void stepsInForAGatewayThatStaysSilent() {
-        PullPlan plan = PullPlan.create("vm-1", List.of("a", "b", "c", "d"), Limits.forOriginCopies(1), 1, 0);
+        PullPlan plan = PullPlan.create("vm-1", List.of("a", "b", "c", "d"), PullLimits.forOriginCopies(1), 1, 0);
         plan.members(List.of(new Member("vm-0", "r"), new Member("vm-1", "r")));
         List<Integer> drawn = new ArrayList<>();
         for (long now = 0; now < 200 * ROUND; now += ROUND) {
@@ -111,7 +110,8 @@
                 }
             }
             for (Member member : members) {
-                PullPlan plan = PullPlan.create(member.vm(), hashes, Limits.forOriginCopies(copies), index(member), 0);
+                PullPlan plan =
+                        PullPlan.create(member.vm(), hashes, PullLimits.forOriginCopies(copies), index(member), 0);
                 plan.members(members);
                 plans.put(member.vm(), plan);
             }
