Bind ports in one place and drop what an exchange no longer needs

A close between the check and the storing of the channel could also have left a connection open.

Change: NetworkThreads.awaitBound serves all three; the channel is stored before the check; the field and the second close are gone. No test was changed.

--- a/galenahinge/src/main/java/org/galenahinge/http/Exchange.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/Exchange.java
@@ -46,13 +46,10 @@
 public final class Exchange {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
 
-    private final Listener listener;
     private volatile boolean closed;
     private volatile Optional<Channel> channel = Optional.empty();
 
-    private Exchange(Listener listener) {
-        this.listener = listener;
-    }
+    private Exchange() {}
 
     /**
      * A request.
@@ -144,7 +141,8 @@
      */
     public static Exchange send(NetworkThreads threads, URI server, Request request, Listener listener) {
         Objects.requireNonNull(request, "request");
-        Exchange exchange = new Exchange(Objects.requireNonNull(listener, "listener"));
+        Objects.requireNonNull(listener, "listener");
+        Exchange exchange = new Exchange();
         Bootstrap bootstrap = new Bootstrap()
                 .group(threads.group())
                 .channel(NioSocketChannel.class)
@@ -159,7 +157,7 @@
                 });
         bootstrap.connect(server.getHost(), server.getPort()).addListener(done -> {
             if (done.isSuccess()) {
-                exchange.connected(((ChannelFuture) done).channel(), server, request);
+                exchange.connected(((ChannelFuture) done).channel(), server, request, listener);
             } else {
                 listener.notSent(messageOf(done.cause()));
             }
@@ -173,14 +171,14 @@
         channel.ifPresent(Channel::close);
     }
 
-    private void connected(Channel opened, URI server, Request request) {
+    private void connected(Channel opened, URI server, Request request, Listener listener) {
+        channel = Optional.of(opened);
         if (closed) {
             opened.pipeline().remove(Receiver.class);
             opened.close();
             listener.notSent("closed before it was sent");
             return;
         }
-        channel = Optional.of(opened);
         HttpRequest head =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.path());
         request.headers().forEach((name, value) -> head.headers().set(name, value));
--- a/galenahinge/src/main/java/org/galenahinge/http/HttpServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpServer.java
@@ -54,11 +54,7 @@
                                 .addLast(new Answerer(documents));
                     }
                 });
-        var binding = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
-        if (!binding.isSuccess()) {
-            throw new IOException(
-                    "cannot listen on " + address + ": " + binding.cause().getMessage(), binding.cause());
-        }
+        NetworkThreads.awaitBound(bootstrap.bind(address.host(), address.port()), address);
     }
 
     private static final class Answerer extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
@@ -26,11 +26,8 @@
             NetworkThreads threads, URI server, Exchange.Request request, Duration timeout, long maximumBytes) {
         CompletableFuture<Whole> whole = new CompletableFuture<>();
         Exchange exchange = Exchange.send(threads, server, request, new Collector(whole, maximumBytes));
-        Future<?> timer = threads.schedule(timeout.toMillis(), () -> {
-            if (whole.completeExceptionally(new FailedException("no whole answer in time"))) {
-                exchange.close();
-            }
-        });
+        Future<?> timer = threads.schedule(
+                timeout.toMillis(), () -> whole.completeExceptionally(new FailedException("no whole answer in time")));
         whole.whenComplete((answer, error) -> {
             timer.cancel(false);
             if (error != null) {
--- a/galenahinge/src/main/java/org/galenahinge/wire/DatagramNetwork.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/DatagramNetwork.java
@@ -56,12 +56,8 @@
                         opened.pipeline().addLast(new Receiver(handler, control, malformed));
                     }
                 });
-        var binding = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
-        if (!binding.isSuccess()) {
-            throw new IOException(
-                    "cannot listen on " + address + ": " + binding.cause().getMessage(), binding.cause());
-        }
-        return new DatagramNetwork(binding.channel(), control);
+        Channel bound = NetworkThreads.awaitBound(bootstrap.bind(address.host(), address.port()), address);
+        return new DatagramNetwork(bound, control);
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/wire/NetworkThreads.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/NetworkThreads.java
@@ -1,8 +1,11 @@
 package org.galenahinge.wire;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -47,6 +50,23 @@
         return group.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Waits for a port to be bound.
+     *
+     * @param binding the binding under way
+     * @param address where it listens
+     * @return the channel that listens
+     * @throws IOException when the port is in use
+     */
+    public static Channel awaitBound(ChannelFuture binding, WireAddress address) throws IOException {
+        binding.awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException(
+                    "cannot listen on " + address + ": " + binding.cause().getMessage(), binding.cause());
+        }
+        return binding.channel();
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- a/galenahinge/src/main/java/org/galenahinge/wire/WireNetwork.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/WireNetwork.java
@@ -78,11 +78,7 @@
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
                 .childHandler(new LinkInitializer(handler, null));
-        var binding = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
-        if (!binding.isSuccess()) {
-            throw new IOException(
-                    "cannot listen on " + address + ": " + binding.cause().getMessage(), binding.cause());
-        }
+        NetworkThreads.awaitBound(bootstrap.bind(address.host(), address.port()), address);
     }
 
     /**
