--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/RouteTable.java
@@ -0,0 +1,79 @@
+package org.galenahinge.catalog;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Finds the route of a request: among those of its host the one with the longest prefix. Immutable.
+ *
+ * <p>Cost of a look-up: one map read for each slash in the path, whatever the number of routes.
+ */
+public final class RouteTable {
+    private final Map<String, Map<String, Route>> byHost;
+
+    private RouteTable(Map<String, Map<String, Route>> byHost) {
+        this.byHost = byHost;
+    }
+
+    /**
+     * Creates a table.
+     *
+     * @param routes the routes; of two with the same host and prefix the later one counts
+     * @return the table
+     */
+    public static RouteTable of(Collection<Route> routes) {
+        Map<String, Map<String, Route>> byHost = new HashMap<>();
+        for (Route route : routes) {
+            byHost.computeIfAbsent(hostKey(route.host()), host -> new HashMap<>())
+                    .put(route.prefix(), route);
+        }
+        return new RouteTable(byHost);
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host the host asked for, with or without a port
+     * @param path the path, without the query
+     * @return the route, or empty when none takes it
+     */
+    public Optional<Route> find(String host, String path) {
+        Map<String, Route> prefixes = byHost.get(hostKey(host));
+        if (prefixes == null) {
+            return Optional.empty();
+        }
+        int end = path.length();
+        while (true) {
+            int slash = path.lastIndexOf('/', end - 1);
+            if (slash < 0) {
+                return Optional.empty();
+            }
+            Route route = prefixes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+            end = slash;
+        }
+    }
+
+    /**
+     * Returns all routes.
+     *
+     * @return a new list
+     */
+    public List<Route> routes() {
+        return byHost.values().stream()
+                .flatMap(prefixes -> prefixes.values().stream())
+                .toList();
+    }
+
+    private static String hostKey(String host) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What the operators configured: routes, services, organisations and limits, as immutable values.
+ */
+package org.galenahinge.catalog;
--- a/galenahinge/src/main/java/org/galenahinge/daemon/MetricsHttp.java
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/MetricsHttp.java
@@ -43,13 +43,13 @@
         return switch (path) {
             case "/health" -> Optional.of(text(200, "alive"));
             case "/ready" -> Optional.of(ready.getAsBoolean() ? text(200, "ready") : text(503, "not ready"));
-            case "/metrics" -> Optional.of(new HttpDocument(200, "application/json", render()));
+            case "/metrics" -> Optional.of(HttpDocument.text(200, "application/json", render()));
             default -> Optional.empty();
         };
     }
 
     private static HttpDocument text(int status, String body) {
-        return new HttpDocument(status, "text/plain; charset=utf-8", body + "\n");
+        return HttpDocument.text(status, "text/plain; charset=utf-8", body + "\n");
     }
 
     private String render() {
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -24,9 +24,9 @@
 import org.galenahinge.membership.Vm;
 import org.galenahinge.operations.EntryList;
 import org.galenahinge.operations.EntryList.EntryAddress;
-import org.galenahinge.platform.ConfigurationClient;
-import org.galenahinge.platform.HttpReader;
-import org.galenahinge.platform.VmListClient;
+import org.galenahinge.reader.ConfigurationClient;
+import org.galenahinge.reader.HttpReader;
+import org.galenahinge.reader.VmListClient;
 import org.galenahinge.request.CapacityFilter;
 import org.galenahinge.request.Filter;
 import org.galenahinge.request.Reason;
@@ -35,6 +35,7 @@
 import org.galenahinge.settings.EntrySettings;
 import org.galenahinge.wire.DatagramNetwork;
 import org.galenahinge.wire.LinkRegistry;
+import org.galenahinge.wire.MembershipCodec;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.Peers;
 import org.galenahinge.wire.TicketFrames;
@@ -198,7 +199,8 @@
 
     private void listen() throws IOException {
         network.listen(self.wireAddress(), frames);
-        datagrams = Optional.of(DatagramNetwork.listen(threads, self.wireAddress(), metrics, membership::received));
+        datagrams = Optional.of(DatagramNetwork.listen(
+                threads, self.wireAddress(), metrics, MembershipCodec::read, membership::received));
         membership.begin();
         keeper.begin();
         tickets.begin();
--- a/galenahinge/src/main/java/org/galenahinge/entry/FleetController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/FleetController.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 import org.galenahinge.concurrent.Controller;
 import org.galenahinge.membership.Fleet;
-import org.galenahinge.platform.VmListClient;
+import org.galenahinge.reader.VmListClient;
 import org.jboss.logging.Logger;
 
 /** Reads the platform's VM list again and again, and keeps the last one while the platform is down. One thread. */
--- a/galenahinge/src/main/java/org/galenahinge/entry/HttpAnswers.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/HttpAnswers.java
@@ -69,7 +69,7 @@
     }
 
     static HttpResponse of(HttpDocument document) {
-        ContentType.NonBinary type = document.contentType().startsWith("text/plain")
+        ContentType type = document.contentType().startsWith("text/plain")
                 ? ContentTypes.TEXT_PLAIN_UTF8
                 : ContentTypes.APPLICATION_JSON;
         return HttpResponse.create().withStatus(document.status()).withEntity(type, document.body());
--- a/galenahinge/src/main/java/org/galenahinge/entry/TicketEvent.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketEvent.java
@@ -1,7 +1,7 @@
 package org.galenahinge.entry;
 
 import org.galenahinge.membership.Fleet;
-import org.galenahinge.platform.ConfigurationClient.Page;
+import org.galenahinge.reader.ConfigurationClient.Page;
 import org.galenahinge.wire.WireLink;
 import org.galenahinge.wire.generated.Frame;
 import org.galenahinge.wire.generated.SlotState;
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactFollower.java
@@ -0,0 +1,268 @@
+package org.galenahinge.facts;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.galenahinge.concurrent.Timers;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.log.EventLog.Category;
+
+/**
+ * Keeps the facts of this node fresh: reads the store itself where it is a watcher, and other nodes where it is not. A
+ * node that hears nothing fresh for {@link #STALE_AFTER} reads the store by itself, whoever else should.
+ *
+ * <p>Belongs to one thread. Each source has at most one read under way, so a silent one cannot hold up the other.
+ */
+public final class FactFollower {
+    /** How old the facts may be before this node stops relying on its source. */
+    public static final Duration STALE_AFTER = Duration.ofMillis(1_350);
+
+    private static final Duration STORE_WAIT = Duration.ofSeconds(1);
+    private static final Duration PEER_WAIT = Duration.ofMillis(600);
+    private static final Duration STORE_BATCH = Duration.ofMillis(100);
+    private static final Duration CHECK_EVERY = Duration.ofMillis(250);
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(80);
+    private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
+    private static final int JITTER_MILLIS = 250;
+
+    private final FactStore store;
+    private final Peers peers;
+    private final FactLog facts;
+    private final Consumer<List<FactItem>> fresh;
+    private final Timers timers;
+    private final EventLog log;
+    private final Random random;
+    private final Source storeSource = new Source(STORE_WAIT);
+    private final Source peerSource = new Source(PEER_WAIT);
+    private Runnable storeReturned = () -> {};
+    private boolean loaded;
+    private boolean stale = true;
+    private long freshAtNanos;
+    private long jitterNanos;
+
+    /** Knows the other nodes. */
+    public interface Peers {
+        /**
+         * Tells whether this node is one of those that read the store for others.
+         *
+         * @return whether it is a watcher
+         */
+        boolean isWatcher();
+
+        /**
+         * Returns the node to read from.
+         *
+         * @param failures how many reads in a row have failed, so that another node can be named
+         * @return the node, or empty when none is known
+         */
+        Optional<FactStore> source(int failures);
+    }
+
+    private FactFollower(
+            FactStore store,
+            Peers peers,
+            FactLog facts,
+            Consumer<List<FactItem>> fresh,
+            Timers timers,
+            EventLog log,
+            long seed) {
+        this.store = store;
+        this.peers = peers;
+        this.facts = facts;
+        this.fresh = fresh;
+        this.timers = timers;
+        this.log = log;
+        this.random = new Random(seed);
+        this.freshAtNanos = timers.nanoTime();
+    }
+
+    /**
+     * Creates a follower that reads nothing yet.
+     *
+     * @param store reads the store
+     * @param peers knows the other nodes
+     * @param facts joins what is read
+     * @param fresh hears of items that are new
+     * @param timers the clock
+     * @param log where lost and regained sources are written
+     * @param seed the seed of the jitter
+     * @return the follower
+     */
+    public static FactFollower create(
+            FactStore store,
+            Peers peers,
+            FactLog facts,
+            Consumer<List<FactItem>> fresh,
+            Timers timers,
+            EventLog log,
+            long seed) {
+        return new FactFollower(
+                Objects.requireNonNull(store, "store"),
+                Objects.requireNonNull(peers, "peers"),
+                Objects.requireNonNull(facts, "facts"),
+                Objects.requireNonNull(fresh, "fresh"),
+                Objects.requireNonNull(timers, "timers"),
+                Objects.requireNonNull(log, "log"),
+                seed);
+    }
+
+    /**
+     * Sets what runs when facts can be read again after they were stale.
+     *
+     * @param action the action
+     */
+    public void onReturn(Runnable action) {
+        storeReturned = Objects.requireNonNull(action, "action");
+    }
+
+    /** Begins to read. */
+    public void begin() {
+        check();
+    }
+
+    /**
+     * Tells whether all facts have been read once.
+     *
+     * @return whether anything is known
+     */
+    public boolean isLoaded() {
+        return loaded;
+    }
+
+    /**
+     * Returns how old the facts are.
+     *
+     * @return the time since the store is known to have held nothing newer
+     */
+    public Duration age() {
+        return Duration.ofNanos(Math.max(0, timers.nanoTime() - freshAtNanos));
+    }
+
+    /** Does what is due: starts the reads that are wanted now, then comes back. */
+    private void check() {
+        noteStaleness();
+        readWanted();
+        timers.schedule(CHECK_EVERY, this::check);
+    }
+
+    private void readWanted() {
+        boolean doubtful = !loaded || age().toNanos() > STALE_AFTER.toNanos() - CHECK_EVERY.toNanos() + jitterNanos;
+        boolean watcher = peers.isWatcher();
+        if (watcher || doubtful) {
+            start(storeSource, Optional.of(store));
+        }
+        if (!watcher || doubtful) {
+            start(peerSource, peers.source(peerSource.failures));
+        }
+    }
+
+    private void start(Source source, Optional<FactStore> from) {
+        if (source.busy || from.isEmpty() || timers.nanoTime() - source.notBeforeNanos < 0) {
+            return;
+        }
+        source.busy = true;
+        long after = loaded && !source.historyGone ? facts.revision() : 0;
+        from.get().read(after, source.wait).whenComplete((reading, error) -> {
+            source.busy = false;
+            if (error == null) {
+                succeeded(source, from.get(), reading);
+            } else {
+                failed(source, from.get(), error);
+            }
+            readWanted();
+        });
+    }
+
+    private void succeeded(Source source, FactStore from, FactStore.Reading reading) {
+        if (source.failures > 0) {
+            log.event(Category.LIFECYCLE, "facts_source_regained")
+                    .with("source", from.name())
+                    .with("failures", source.failures)
+                    .write();
+        }
+        source.failures = 0;
+        source.historyGone = false;
+        Duration pause = source == storeSource && !reading.items().isEmpty() ? STORE_BATCH : Duration.ZERO;
+        source.notBeforeNanos = timers.nanoTime() + pause.toNanos();
+        if (!pause.isZero()) {
+            timers.schedule(pause, this::readWanted);
+        }
+        List<FactItem> news = reading.whole()
+                ? facts.joinListing(reading.items(), reading.revision())
+                : facts.join(reading.items(), reading.revision());
+        if (!loaded) {
+            log.event(Category.LIFECYCLE, "facts_loaded")
+                    .with("source", from.name())
+                    .with("items", reading.items().size())
+                    .with("revision", reading.revision())
+                    .with("age_ms", reading.age().toMillis())
+                    .write();
+        }
+        loaded = true;
+        long asOf = timers.nanoTime() - reading.age().toNanos();
+        if (asOf - freshAtNanos > 0) {
+            freshAtNanos = asOf;
+        }
+        // Entries that lapsed meanwhile come with this very reading: the grace must stand first.
+        noteStaleness();
+        fresh.accept(news);
+    }
+
+    private void failed(Source source, FactStore from, Throwable error) {
+        source.failures++;
+        FactReadException.Cause cause = error instanceof FactReadException read
+                ? read.reason()
+                : error.getCause() instanceof FactReadException nested
+                        ? nested.reason()
+                        : FactReadException.Cause.MALFORMED;
+        if (cause == FactReadException.Cause.HISTORY_GONE) {
+            source.historyGone = true;
+        }
+        long backoff =
+                Math.min(LONGEST_BACKOFF.toMillis(), FIRST_BACKOFF.toMillis() << Math.min(source.failures - 1, 5));
+        long jittered = backoff / 2 + random.nextInt((int) backoff / 2 + 1);
+        long pause = source.historyGone && source.failures == 1 ? 0 : jittered;
+        source.notBeforeNanos = timers.nanoTime() + Duration.ofMillis(pause).toNanos();
+        timers.schedule(Duration.ofMillis(pause), this::readWanted);
+        log.event(Category.LIFECYCLE, "facts_source_failed")
+                .with("source", from.name())
+                .with("failures", source.failures)
+                .with("cause", cause.name())
+                .with("detail", String.valueOf(error.getMessage()))
+                .with("age_ms", age().toMillis())
+                .with("retry_ms", pause)
+                .write();
+    }
+
+    private void noteStaleness() {
+        boolean now = !loaded || age().compareTo(STALE_AFTER) > 0;
+        if (now == stale) {
+            return;
+        }
+        stale = now;
+        jitterNanos = Duration.ofMillis(random.nextInt(JITTER_MILLIS)).toNanos();
+        log.event(Category.LIFECYCLE, now ? "facts_stale" : "facts_fresh")
+                .with("age_ms", age().toMillis())
+                .with("revision", facts.revision())
+                .write();
+        if (!now) {
+            storeReturned.run();
+        }
+    }
+
+    private static final class Source {
+        private final Duration wait;
+        private boolean busy;
+        private boolean historyGone;
+        private int failures;
+        private long notBeforeNanos;
+
+        Source(Duration wait) {
+            this.wait = wait;
+            this.notBeforeNanos = Long.MIN_VALUE / 2;
+        }
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -0,0 +1,235 @@
+package org.galenahinge.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.galenahinge.catalog.Catalog;
+import org.galenahinge.catalog.EngineFigures;
+import org.galenahinge.concurrent.Timers;
+import org.galenahinge.facts.FleetFacts;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.placement.AdmissionQueue;
+import org.galenahinge.placement.Candidate;
+import org.galenahinge.placement.Choice;
+import org.galenahinge.placement.Demand;
+import org.galenahinge.placement.Placement;
+import org.galenahinge.placement.PromptShape;
+import org.galenahinge.placement.RepeatBudget;
+import org.galenahinge.placement.UpstreamLoad.LoadReport;
+import org.galenahinge.upstream.UpstreamPool;
+import org.galenahinge.wire.WireAddress;
+
+/** Forwards callers' requests: holds what its requests share. Belongs to one network thread. */
+public final class Gateway {
+    private static final int WAITING_CAPACITY = 256;
+    private static final Duration SWEEP_EVERY = Duration.ofMillis(20);
+    private static final Duration VERSION_MARGIN = Duration.ofMillis(2_500);
+
+    private final GatewaySettings settings;
+    private final FleetFacts facts;
+    private final CallTranslator translator;
+    private final Timers timers;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private final IntSupplier nodes;
+    private final Placement placement;
+    private final Random random;
+    private final UpstreamTable upstreams;
+    private final Map<String, ServiceDesk> desks = new HashMap<>();
+    private boolean sweeping;
+    private boolean stopping;
+
+    private Gateway(
+            GatewaySettings settings,
+            EventLoop loop,
+            FleetFacts facts,
+            CallTranslator translator,
+            Timers timers,
+            EventLog log,
+            MetricRegistry registry,
+            IntSupplier nodes,
+            long seed) {
+        this.settings = settings;
+        this.facts = facts;
+        this.translator = translator;
+        this.timers = timers;
+        this.log = log;
+        this.metrics = new GatewayMetrics(registry);
+        this.nodes = nodes;
+        this.placement = Placement.create(settings.zone(), seed);
+        this.random = new Random(seed);
+        this.upstreams = new UpstreamTable(loop, registry.counter("upstream.connections.opened"));
+        registry.gauge("upstream.known", () -> upstreams::size);
+    }
+
+    /**
+     * Creates a gateway.
+     *
+     * @param settings what bounds it
+     * @param loop the thread that it belongs to
+     * @param facts what is known of the fleet
+     * @param translator knows the names of headers
+     * @param timers the clock
+     * @param log where decisions are written
+     * @param registry where they are counted
+     * @param nodes how many nodes share the budgets
+     * @param seed the seed of what is random
+     * @return the gateway
+     */
+    public static Gateway create(
+            GatewaySettings settings,
+            EventLoop loop,
+            FleetFacts facts,
+            CallTranslator translator,
+            Timers timers,
+            EventLog log,
+            MetricRegistry registry,
+            IntSupplier nodes,
+            long seed) {
+        return new Gateway(
+                Objects.requireNonNull(settings, "settings"),
+                Objects.requireNonNull(loop, "loop"),
+                Objects.requireNonNull(facts, "facts"),
+                Objects.requireNonNull(translator, "translator"),
+                Objects.requireNonNull(timers, "timers"),
+                Objects.requireNonNull(log, "log"),
+                Objects.requireNonNull(registry, "registry"),
+                Objects.requireNonNull(nodes, "nodes"),
+                seed);
+    }
+
+    /** Takes in that the facts have changed. */
+    public void factsChanged() {
+        upstreams.refresh(facts.upstreams());
+        serveWaiting();
+    }
+
+    /**
+     * Takes in what a slot process says of its upstream.
+     *
+     * @param address where the upstream listens
+     * @param bornMillis when it started, so that word of an earlier life is left out; 0 where unknown
+     * @param report what it says
+     */
+    public void reported(WireAddress address, long bornMillis, LoadReport report) {
+        Optional<Candidate> candidate = upstreams.at(address);
+        if (candidate.isEmpty()) {
+            return;
+        }
+        long born = candidate.get().upstream().bornMillis();
+        if (born != 0 && bornMillis != 0 && born != bornMillis) {
+            return;
+        }
+        candidate.get().load().reported(report, timers.nanoTime());
+        serveWaiting();
+    }
+
+    /**
+     * Begins to forward a request.
+     *
+     * @param call the request
+     * @param reply takes its answer
+     * @return the request under way
+     */
+    ForwardedCall begin(Call call, CallerReply reply) {
+        ForwardedCall forwarded = new ForwardedCall(this, call, reply);
+        forwarded.begin();
+        return forwarded;
+    }
+
+    /** Says that the process is stopping: long answers are no longer begun near its end. */
+    public void stop() {
+        stopping = true;
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    Optional<Catalog> catalog() {
+        return facts.catalog();
+    }
+
+    CallTranslator translator() {
+        return translator;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    EventLog log() {
+        return log;
+    }
+
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
+    double draw() {
+        return random.nextDouble();
+    }
+
+    int nodes() {
+        return Math.max(1, nodes.getAsInt());
+    }
+
+    ServiceDesk desk(String service) {
+        return desks.computeIfAbsent(
+                service,
+                name -> new ServiceDesk(
+                        new AdmissionQueue<>(WAITING_CAPACITY),
+                        RepeatBudget.create(settings.repeats(), timers.nanoTime())));
+    }
+
+    Optional<UpstreamPool> pool(String upstreamId) {
+        return upstreams.pool(upstreamId);
+    }
+
+    Choice choose(String service, Optional<PromptShape> prompt, Set<String> excluded) {
+        Optional<EngineFigures> engine = facts.catalog().flatMap(catalog -> catalog.engineOf(service));
+        OptionalLong least = prompt.map(shape -> leastVersion(shape.model())).orElse(OptionalLong.empty());
+        List<Candidate> candidates = upstreams.candidates(service);
+        return placement.choose(candidates, engine, new Demand(prompt, excluded, least), timers.nanoTime());
+    }
+
+    /** The version that requests must begin on, once the time for its spread is nearly over. */
+    OptionalLong leastVersion(String model) {
+        return facts.namedBefore(model, settings.versionWithin().minus(VERSION_MARGIN));
+    }
+
+    /** Looks through the waiting requests soon, so that none waits past its time. */
+    void sweepSoon() {
+        if (sweeping) {
+            return;
+        }
+        sweeping = true;
+        timers.schedule(SWEEP_EVERY, this::sweep);
+    }
+
+    /** Offers free places to the waiting requests. */
+    void serveWaiting() {
+        desks.values().forEach(desk -> desk.waiting().serve(ForwardedCall::tryWaiting));
+    }
+
+    private void sweep() {
+        sweeping = false;
+        long now = timers.nanoTime();
+        serveWaiting();
+        for (ServiceDesk desk : desks.values()) {
+            desk.waiting().expire(now).forEach(ForwardedCall::waitedTooLong);
+        }
+        if (desks.values().stream().anyMatch(desk -> desk.waiting().size() > 0)) {
+            sweepSoon();
+        }
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/membership/MembershipCore.java
+++ b/galenahinge/src/main/java/org/galenahinge/membership/MembershipCore.java
@@ -114,6 +114,20 @@
         }
     }
 
+    /**
+     * Takes in members that were heard of elsewhere; those already known stay as they are.
+     *
+     * @param names the members' VMs
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void introduced(Collection<String> names, long nowNanos) {
+        for (String name : names) {
+            if (!name.equals(self)) {
+                members.computeIfAbsent(name, vm -> new MemberState(vm, 0, Status.ALIVE, nowNanos));
+            }
+        }
+    }
+
     /**
      * Does what is due.
      *
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFacts.java
@@ -0,0 +1,82 @@
+package org.galenahinge.node;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.galenahinge.facts.FactItem;
+import org.galenahinge.facts.FactReadException;
+import org.galenahinge.facts.FactReadException.Cause;
+import org.galenahinge.facts.FactStore;
+import org.galenahinge.http.Exchange;
+import org.galenahinge.http.WholeAnswer;
+import org.galenahinge.wire.NetworkThreads;
+import org.galenahinge.wire.WireAddress;
+import org.galenahinge.wire.generated.FactEntry;
+import org.galenahinge.wire.generated.FactReading;
+
+/** Reads facts from an entry that passes them on. */
+final class PeerFacts implements FactStore {
+    private static final Duration MARGIN = Duration.ofMillis(350);
+    private static final long MAXIMUM_BYTES = 16L << 20;
+    private static final int OK = 200;
+
+    private final NetworkThreads threads;
+    private final String name;
+    private final WireAddress address;
+    private final boolean slim;
+    private final Consumer<List<String>> nodesHeard;
+
+    PeerFacts(
+            NetworkThreads threads, String name, WireAddress address, boolean slim, Consumer<List<String>> nodesHeard) {
+        this.threads = Objects.requireNonNull(threads, "threads");
+        this.name = Objects.requireNonNull(name, "name");
+        this.address = Objects.requireNonNull(address, "address");
+        this.slim = slim;
+        this.nodesHeard = Objects.requireNonNull(nodesHeard, "nodesHeard");
+    }
+
+    @Override
+    public CompletionStage<Reading> read(long after, Duration wait) {
+        String path = "/facts?after=" + after + "&wait=" + wait.toMillis() + "&slim=" + slim;
+        URI uri = URI.create("http://" + address);
+        return WholeAnswer.ask(threads, uri, Exchange.Request.get(path), wait.plus(MARGIN), MAXIMUM_BYTES)
+                .handle((answer, error) -> {
+                    if (error != null) {
+                        throw new FactReadException(Cause.SILENT, String.valueOf(error.getMessage()));
+                    }
+                    if (answer.status() != OK) {
+                        throw new FactReadException(Cause.REFUSED, "status " + answer.status());
+                    }
+                    return parse(answer.body());
+                });
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    private Reading parse(byte[] bytes) {
+        try {
+            FactReading reading = FactReading.parseFrom(bytes);
+            nodesHeard.accept(reading.getNodesList());
+            List<FactItem> items =
+                    reading.getItemsList().stream().map(PeerFacts::item).toList();
+            return new Reading(
+                    items, reading.getWhole(), reading.getRevision(), Duration.ofMillis(reading.getAgeMillis()));
+        } catch (InvalidProtocolBufferException e) {
+            throw new CompletionException(new FactReadException(Cause.MALFORMED, String.valueOf(e.getMessage())));
+        }
+    }
+
+    private static FactItem item(FactEntry entry) {
+        return entry.getRemoved()
+                ? FactItem.removed(entry.getKey(), entry.getRevision())
+                : FactItem.written(entry.getKey(), entry.getValue().toByteArray(), entry.getRevision());
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
@@ -0,0 +1,147 @@
+package org.galenahinge.node;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.galenahinge.catalog.EngineFigures;
+import org.galenahinge.concurrent.Timers;
+import org.galenahinge.facts.FleetFacts;
+import org.galenahinge.http.HttpDocument;
+import org.galenahinge.http.HttpServer;
+import org.galenahinge.supply.WeightsDigests;
+import org.galenahinge.supply.WeightsLibrary;
+import org.galenahinge.supply.WeightsLibrary.Offer;
+import org.galenahinge.upstream.HeldWeights;
+
+/** Answers slot processes and other entries that ask an entry for weights. Belongs to one thread. */
+final class WeightsDesk {
+    /** The version that engines hold before any was named. */
+    private static final long FIRST_VERSION = 1;
+
+    private static final int MOST_WAITING = 1_000;
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+
+    private final FleetFacts facts;
+    private final WeightsLibrary library;
+    private final Timers timers;
+    private final Supplier<List<String>> nodes;
+    private final List<Waiting> waiting = new ArrayList<>();
+
+    private record Waiting(Supplier<Optional<Offer>> offer, Consumer<HttpDocument> reply, Timers.Timer timer) {}
+
+    WeightsDesk(FleetFacts facts, WeightsLibrary library, Timers timers, Supplier<List<String>> nodes) {
+        this.facts = Objects.requireNonNull(facts, "facts");
+        this.library = Objects.requireNonNull(library, "library");
+        this.timers = Objects.requireNonNull(timers, "timers");
+        this.nodes = Objects.requireNonNull(nodes, "nodes");
+        library.onChange(this::manifestCame);
+    }
+
+    /** Takes in that the facts have changed: versions may be named that are not here. */
+    void factsChanged() {
+        facts.catalog()
+                .ifPresent(catalog -> catalog.services().values().stream()
+                        .flatMap(service -> service.engine().stream())
+                        .map(EngineFigures::models)
+                        .flatMap(List::stream)
+                        .forEach(this::want));
+    }
+
+    /**
+     * Answers a request, if it is one for weights.
+     *
+     * @param query the request
+     * @param reply takes the answer
+     * @return whether it was
+     */
+    boolean answer(QueryStringDecoder query, Consumer<HttpDocument> reply) {
+        switch (query.path()) {
+            case "/weights" -> answerWanted(query, reply);
+            case "/manifest" -> answerManifest(query, reply);
+            case "/chunk" -> answerChunk(query, reply);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void want(String model) {
+        var named = facts.namedOf(model);
+        if (named.isPresent()) {
+            library.want(named.get().weights(), named.get().sinceNanos());
+        } else {
+            library.want(new HeldWeights(model, FIRST_VERSION), timers.nanoTime());
+        }
+    }
+
+    private void answerWanted(QueryStringDecoder query, Consumer<HttpDocument> reply) {
+        String service = NodeQuery.text(query, "service");
+        long known = NodeQuery.number(query, "known");
+        await(() -> modelOf(service).flatMap(library::offer).filter(offer -> versionOf(offer) > known), query, reply);
+    }
+
+    private void answerManifest(QueryStringDecoder query, Consumer<HttpDocument> reply) {
+        String model = NodeQuery.text(query, "model");
+        long version = NodeQuery.number(query, "version");
+        await(() -> library.offer(model).filter(offer -> versionOf(offer) == version), query, reply);
+    }
+
+    private void await(Supplier<Optional<Offer>> offer, QueryStringDecoder query, Consumer<HttpDocument> reply) {
+        Duration wait = Duration.ofMillis(Math.min(NodeQuery.number(query, "wait"), LONGEST_WAIT.toMillis()));
+        if (offer.get().isPresent() || waiting.size() >= MOST_WAITING || wait.isZero()) {
+            answer(offer.get(), reply);
+            return;
+        }
+        Waiting[] holder = new Waiting[1];
+        Timers.Timer timer = timers.schedule(wait, () -> {
+            waiting.remove(holder[0]);
+            answer(offer.get(), reply);
+        });
+        holder[0] = new Waiting(offer, reply, timer);
+        waiting.add(holder[0]);
+    }
+
+    private void manifestCame() {
+        for (Waiting one : List.copyOf(waiting)) {
+            Optional<Offer> offer = one.offer().get();
+            if (offer.isPresent()) {
+                waiting.remove(one);
+                one.timer().cancel();
+                answer(offer, one.reply());
+            }
+        }
+    }
+
+    private void answer(Optional<Offer> offer, Consumer<HttpDocument> reply) {
+        Optional<WeightsDigests> digests = offer.map(Offer::digests);
+        Duration age = offer.map(Offer::age).orElse(Duration.ZERO);
+        reply.accept(HttpDocument.bytes(200, EntryWeights.write(digests, age, nodes.get())));
+    }
+
+    private void answerChunk(QueryStringDecoder query, Consumer<HttpDocument> reply) {
+        HeldWeights weights = new HeldWeights(NodeQuery.text(query, "model"), NodeQuery.number(query, "version"));
+        Duration wait = Duration.ofMillis(Math.min(NodeQuery.number(query, "wait"), LONGEST_WAIT.toMillis()));
+        library.give(
+                weights,
+                (int) NodeQuery.number(query, "number"),
+                wait,
+                chunk -> reply.accept(
+                        chunk.map(bytes -> HttpDocument.bytes(200, bytes)).orElseGet(HttpServer::nothing)));
+    }
+
+    private Optional<String> modelOf(String service) {
+        return facts.catalog()
+                .flatMap(catalog -> catalog.engineOf(service))
+                .flatMap(engine -> engine.models().stream().findFirst());
+    }
+
+    private static long versionOf(Offer offer) {
+        return offer.digests().weights().version();
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -0,0 +1,141 @@
+package org.galenahinge.placement;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import org.galenahinge.catalog.EngineFigures;
+
+/**
+ * Chooses the upstream for a request: the one with the earliest predicted answer, with a handicap for each border that
+ * lies between. Near ties are broken at random, so that several nodes with the same facts do not choose alike.
+ */
+public final class Placement {
+    /** What an upstream in another failure domain must be faster by to be chosen, in milliseconds. */
+    private static final double BORDER_HANDICAP_MILLIS = 40;
+
+    private static final double TIE_MILLIS = 8;
+    private static final double PLAIN_CALL_MILLIS = 20;
+    private static final int PLAIN_PLACES_SHARED_BY = 3;
+
+    private final String zone;
+    private final Random random;
+
+    private Placement(String zone, Random random) {
+        this.zone = zone;
+        this.random = random;
+    }
+
+    /**
+     * Creates a placement.
+     *
+     * @param zone the failure domain of the own VM
+     * @param seed the seed of what is random
+     * @return the placement
+     */
+    public static Placement create(String zone, long seed) {
+        return new Placement(Objects.requireNonNull(zone, "zone"), new Random(seed));
+    }
+
+    /**
+     * Chooses.
+     *
+     * @param candidates the upstreams of the service
+     * @param engine the figures of its engines, empty for a plain service
+     * @param demand what the request asks
+     * @param nowNanos the time, in nanoseconds
+     * @return the choice
+     */
+    public Choice choose(List<Candidate> candidates, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
+        Candidate best = null;
+        double bestScore = Double.MAX_VALUE;
+        double bestPredicted = 0;
+        int able = 0;
+        for (Candidate candidate : candidates) {
+            if (!isAble(candidate, engine, demand, nowNanos)) {
+                continue;
+            }
+            able++;
+            if (!hasPlace(candidate, engine, demand, nowNanos)) {
+                continue;
+            }
+            double predicted = predict(candidate, engine, demand, nowNanos);
+            double score = predicted + handicap(candidate) + random.nextDouble() * TIE_MILLIS;
+            if (score < bestScore) {
+                best = candidate;
+                bestScore = score;
+                bestPredicted = predicted;
+            }
+        }
+        if (best != null) {
+            return new Choice.Chosen(best, bestPredicted);
+        }
+        return able > 0 ? new Choice.Full(able) : new Choice.Nowhere(nowhere(candidates, demand));
+    }
+
+    private static boolean isAble(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
+        if (candidate.upstream().leaving()
+                || demand.excluded().contains(candidate.upstream().id())) {
+            return false;
+        }
+        if (engine.isEmpty()) {
+            return true;
+        }
+        return holdsWeights(candidate, demand, nowNanos)
+                && demand.prompt().map(PromptShape::totalTokens).orElse(0L)
+                        <= engine.get().memoryTokens();
+    }
+
+    private static boolean holdsWeights(Candidate candidate, Demand demand, long nowNanos) {
+        var reported = candidate.load().report(nowNanos);
+        var weights = reported.isPresent()
+                ? reported.get().weights()
+                : candidate.upstream().weights();
+        if (weights.isEmpty()) {
+            return false;
+        }
+        boolean rightModel = demand.prompt()
+                .map(prompt -> prompt.model().equals(weights.get().model()))
+                .orElse(true);
+        return rightModel && weights.get().version() >= demand.leastVersion().orElse(0);
+    }
+
+    private static boolean hasPlace(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
+        if (candidate.load().isResting(nowNanos)) {
+            return false;
+        }
+        if (engine.isEmpty()) {
+            return candidate.load().ownCalls()
+                    < Math.max(1, candidate.upstream().slots());
+        }
+        var report = candidate.load().report(nowNanos);
+        if (report.isPresent() && report.get().loading()) {
+            return false;
+        }
+        double context = report.map(UpstreamLoad.LoadReport::contextTokens).orElse(0.0);
+        long wanted = demand.prompt().map(PromptShape::totalTokens).orElse(0L);
+        return candidate.load().allCalls(nowNanos) < engine.get().slots()
+                && context + wanted <= engine.get().memoryTokens();
+    }
+
+    private static double predict(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
+        if (engine.isEmpty()) {
+            return candidate.load().ownCalls() * PLAIN_CALL_MILLIS * PLAIN_PLACES_SHARED_BY;
+        }
+        int prompt = demand.prompt().map(PromptShape::promptTokens).orElse(0);
+        return EngineModel.of(engine.get())
+                .firstTokenMillis(candidate.load().engineState(engine.get(), nowNanos), prompt);
+    }
+
+    private double handicap(Candidate candidate) {
+        return candidate.upstream().zone().equals(zone) ? 0 : BORDER_HANDICAP_MILLIS;
+    }
+
+    private static String nowhere(List<Candidate> candidates, Demand demand) {
+        if (candidates.isEmpty()) {
+            return "the service has no upstream";
+        }
+        return "none of " + candidates.size() + " upstreams can serve it, "
+                + demand.excluded().size() + " were tried";
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/platform/VmListClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/reader/VmListClient.java
@@ -1,4 +1,4 @@
-package org.galenahinge.platform;
+package org.galenahinge.reader;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
--- a/galenahinge/src/main/java/org/galenahinge/platform/WeightSourceClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/reader/WeightSourceClient.java
@@ -1,4 +1,4 @@
-package org.galenahinge.platform;
+package org.galenahinge.reader;
 
 import java.net.URI;
 import java.time.Duration;
--- a/galenahinge/src/main/java/org/galenahinge/platform/package-info.java
+++ b/galenahinge/src/main/java/org/galenahinge/reader/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Reads what the platform publishes: tickets, the VM list, manifests and chunks. Writes nothing.
  */
-package org.galenahinge.platform;
+package org.galenahinge.reader;
--- a/galenahinge/src/main/java/org/galenahinge/slot/PeerPulls.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/PeerPulls.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.galenahinge.platform.WeightSourceClient;
+import org.galenahinge.reader.WeightSourceClient;
 import org.galenahinge.slot.WeightsEvent.PullOutcome;
 import org.galenahinge.ticket.TicketGroup.ModelWorkload;
 import org.galenahinge.weights.Artifact;
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -0,0 +1,355 @@
+package org.galenahinge.supply;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import org.galenahinge.concurrent.Timers;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.log.EventLog.Category;
+import org.galenahinge.supply.EngineControl.EngineReport;
+import org.galenahinge.supply.EngineControl.OrderResult;
+import org.galenahinge.upstream.HeldWeights;
+
+/**
+ * Brings one engine to the weights that it is to hold: lays the chunks beside it, reads every one back, and orders the
+ * engine only when all agree with their digests. Belongs to one thread.
+ *
+ * <p>What lies beside the engine may rot at any time, so chunks are read back again when the order has to wait.
+ */
+public final class ModelKeeper {
+    private static final int CHUNKS_AT_ONCE = 3;
+    private static final Duration VERIFIED_FOR = Duration.ofMillis(1_200);
+    private static final Duration RETRY = Duration.ofMillis(80);
+    private static final Duration ORDER_SPACING = Duration.ofMillis(500);
+    private static final Duration QUIESCE = Duration.ofMillis(60);
+
+    private final EngineControl engine;
+    private final Function<Integer, Optional<WeightsSource>> sources;
+    private final Timers timers;
+    private final EventLog log;
+    private final Counter fetched;
+    private final Counter spoilt;
+    private final Duration turn;
+    private Runnable loadingBegins = () -> {};
+    private Optional<WeightsDigests> wanted = Optional.empty();
+    private long wantedSinceNanos;
+    private Optional<EngineReport> report = Optional.empty();
+    private Optional<Pass> pass = Optional.empty();
+    private boolean loading;
+    private int failures;
+
+    /** One way through all chunks: each is read back, and fetched where it does not agree. */
+    private static final class Pass {
+        private final WeightsDigests digests;
+        private final long bornMillis;
+        private final long startedNanos;
+        private final Deque<Integer> left = new ArrayDeque<>();
+        private int underWay;
+        private int fetched;
+
+        Pass(WeightsDigests digests, long bornMillis, long startedNanos) {
+            this.digests = digests;
+            this.bornMillis = bornMillis;
+            this.startedNanos = startedNanos;
+            for (int number = 0; number < digests.size(); number++) {
+                left.add(number);
+            }
+        }
+    }
+
+    private ModelKeeper(
+            EngineControl engine,
+            Function<Integer, Optional<WeightsSource>> sources,
+            int turn,
+            Timers timers,
+            EventLog log,
+            MetricRegistry metrics) {
+        this.engine = engine;
+        this.sources = sources;
+        this.turn = ORDER_SPACING.multipliedBy(turn);
+        this.timers = timers;
+        this.log = log;
+        this.fetched = metrics.counter("weights.chunks.fetched");
+        this.spoilt = metrics.counter("weights.chunks.spoilt");
+    }
+
+    /**
+     * Creates a keeper that wants nothing yet.
+     *
+     * @param engine the engine on the own VM
+     * @param sources names where chunks come from, by how many reads in a row have failed
+     * @param turn this engine's turn, from 0, so that not all stop to load at once
+     * @param timers the clock
+     * @param log where decisions are written
+     * @param metrics where chunks are counted
+     * @return the keeper
+     */
+    public static ModelKeeper create(
+            EngineControl engine,
+            Function<Integer, Optional<WeightsSource>> sources,
+            int turn,
+            Timers timers,
+            EventLog log,
+            MetricRegistry metrics) {
+        return new ModelKeeper(
+                Objects.requireNonNull(engine, "engine"),
+                Objects.requireNonNull(sources, "sources"),
+                turn,
+                Objects.requireNonNull(timers, "timers"),
+                Objects.requireNonNull(log, "log"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    /**
+     * Sets what runs just before the engine is ordered to load, so that it gets no new requests.
+     *
+     * @param action the action
+     */
+    public void onLoading(Runnable action) {
+        loadingBegins = Objects.requireNonNull(action, "action");
+    }
+
+    /**
+     * Takes in what the engine is to hold. An older version than the one wanted is left out.
+     *
+     * @param digests the version and its digests
+     * @param age how long ago it was named
+     */
+    public void want(WeightsDigests digests, Duration age) {
+        long known = wanted.map(held -> held.weights().version()).orElse(0L);
+        if (digests.weights().version() <= known) {
+            return;
+        }
+        wanted = Optional.of(digests);
+        wantedSinceNanos = timers.nanoTime() - age.toNanos();
+        failures = 0;
+        log.event(Category.BELIEF, "weights_wanted")
+                .with("model", digests.weights().model())
+                .with("version", digests.weights().version())
+                .with("before", known)
+                .with("age_ms", age.toMillis())
+                .write();
+        act();
+    }
+
+    /**
+     * Returns the version wanted.
+     *
+     * @return its number, 0 for none
+     */
+    public long wantedVersion() {
+        return wanted.map(held -> held.weights().version()).orElse(0L);
+    }
+
+    /**
+     * Takes in the engine's state.
+     *
+     * @param newReport the state
+     */
+    public void reported(EngineReport newReport) {
+        boolean reborn = report.filter(before -> before.bornMillis() != newReport.bornMillis())
+                .isPresent();
+        if (reborn) {
+            log.event(Category.BELIEF, "engine_reborn")
+                    .with("born", newReport.bornMillis())
+                    .write();
+            pass = Optional.empty();
+            loading = false;
+        }
+        report = Optional.of(newReport);
+        if (loading && isSatisfied(newReport)) {
+            loading = false;
+            log.event(Category.BELIEF, "weights_in_use")
+                    .with("version", wantedVersion())
+                    .with("after_ms", millisSince(wantedSinceNanos))
+                    .write();
+        }
+        act();
+    }
+
+    /**
+     * Tells whether the engine is about to load, or loads.
+     *
+     * @return whether it should get no new requests
+     */
+    public boolean isLoading() {
+        return loading || report.filter(EngineReport::busy).isPresent();
+    }
+
+    private boolean isSatisfied(EngineReport state) {
+        return wanted.isEmpty()
+                || state.weights()
+                        .filter(held ->
+                                held.model().equals(wanted.get().weights().model()))
+                        .filter(held -> held.version() >= wanted.get().weights().version())
+                        .isPresent();
+    }
+
+    private void act() {
+        if (wanted.isEmpty()
+                || report.isEmpty()
+                || isSatisfied(report.get())
+                || report.get().busy()
+                || loading) {
+            return;
+        }
+        boolean current =
+                pass.filter(known -> known.digests.equals(wanted.get())).isPresent();
+        if (current) {
+            return;
+        }
+        begin();
+    }
+
+    private void begin() {
+        Pass next = new Pass(wanted.orElseThrow(), report.orElseThrow().bornMillis(), timers.nanoTime());
+        pass = Optional.of(next);
+        advance(next);
+    }
+
+    private boolean isCurrent(Pass one) {
+        return pass.filter(known -> known == one).isPresent()
+                && wanted.filter(known -> known.equals(one.digests)).isPresent();
+    }
+
+    private void advance(Pass one) {
+        while (isCurrent(one) && one.underWay < CHUNKS_AT_ONCE && !one.left.isEmpty()) {
+            one.underWay++;
+            checkStaged(one, one.left.poll());
+        }
+        if (isCurrent(one) && one.underWay == 0 && one.left.isEmpty()) {
+            passed(one);
+        }
+    }
+
+    private void checkStaged(Pass one, int number) {
+        engine.staged(one.digests.weights().model(), number).whenComplete((content, error) -> {
+            if (error != null) {
+                again(one, number, "staged chunk " + number + ": " + error.getMessage());
+            } else if (content.isPresent() && one.digests.isIntact(number, content.get())) {
+                done(one);
+            } else {
+                fetch(one, number);
+            }
+        });
+    }
+
+    private void fetch(Pass one, int number) {
+        Optional<WeightsSource> source = isCurrent(one) ? sources.apply(failures) : Optional.empty();
+        if (source.isEmpty()) {
+            again(one, number, "no source for chunk " + number);
+            return;
+        }
+        source.get().chunk(one.digests.weights(), number).whenComplete((content, error) -> {
+            if (error != null) {
+                again(one, number, "chunk " + number + " from " + source.get().name() + ": " + error.getMessage());
+            } else if (!one.digests.isIntact(number, content)) {
+                spoilt.inc();
+                again(one, number, "chunk " + number + " from " + source.get().name() + " is spoilt");
+            } else {
+                stage(one, number, content);
+            }
+        });
+    }
+
+    private void stage(Pass one, int number, byte[] content) {
+        if (!isCurrent(one)) {
+            return;
+        }
+        engine.stage(one.digests.weights().model(), number, content).whenComplete((nothing, error) -> {
+            if (error != null) {
+                again(one, number, "staging chunk " + number + ": " + error.getMessage());
+                return;
+            }
+            failures = 0;
+            one.fetched++;
+            fetched.inc();
+            done(one);
+        });
+    }
+
+    private void done(Pass one) {
+        one.underWay--;
+        advance(one);
+    }
+
+    private void again(Pass one, int number, String detail) {
+        failures++;
+        log.event(Category.FAILURE, "weights_step_failed")
+                .with("version", one.digests.weights().version())
+                .with("failures", failures)
+                .with("detail", detail)
+                .write();
+        timers.schedule(RETRY, () -> {
+            one.left.addFirst(number);
+            done(one);
+        });
+    }
+
+    /** All chunks agreed when they were read or laid; what was fetched in this pass is read back before it counts. */
+    private void passed(Pass one) {
+        Duration took = Duration.ofNanos(timers.nanoTime() - one.startedNanos);
+        if (one.fetched > 0 || took.compareTo(VERIFIED_FOR) > 0) {
+            log.event(Category.BELIEF, "weights_staged")
+                    .with("version", one.digests.weights().version())
+                    .with("fetched", one.fetched)
+                    .with("after_ms", millisSince(wantedSinceNanos))
+                    .write();
+            awaitTurn(this::begin);
+            return;
+        }
+        awaitTurn(() -> order(one));
+    }
+
+    /** An engine without weights loads at once; those that work take turns. */
+    private void awaitTurn(Runnable action) {
+        boolean works = report.flatMap(EngineReport::weights).isPresent();
+        Duration sinceNamed = Duration.ofNanos(timers.nanoTime() - wantedSinceNanos);
+        Duration wait = works ? turn.minus(sinceNamed.minus(Duration.ofMillis(3_500))) : Duration.ZERO;
+        if (wait.isNegative() || wait.isZero() || wait.compareTo(turn) > 0) {
+            action.run();
+            return;
+        }
+        timers.schedule(wait, this::begin);
+    }
+
+    private void order(Pass one) {
+        if (!isCurrent(one)) {
+            return;
+        }
+        loading = true;
+        loadingBegins.run();
+        timers.schedule(QUIESCE, () -> orderNow(one));
+    }
+
+    private void orderNow(Pass one) {
+        if (!isCurrent(one) || report.isEmpty() || report.get().bornMillis() != one.bornMillis) {
+            loading = false;
+            pass = Optional.empty();
+            return;
+        }
+        HeldWeights weights = one.digests.weights();
+        long expected = report.get().orders();
+        engine.load(weights, expected).whenComplete((result, error) -> {
+            pass = Optional.empty();
+            boolean taken = error == null && (result == OrderResult.BEGUN || result == OrderResult.IN_EFFECT);
+            // An order without an answer may have been taken: the next report tells.
+            loading = taken;
+            log.event(taken ? Category.BELIEF : Category.FAILURE, "engine_ordered")
+                    .with("version", weights.version())
+                    .with("expected_orders", expected)
+                    .with("result", error == null ? result.name() : String.valueOf(error.getMessage()))
+                    .with("after_ms", millisSince(wantedSinceNanos))
+                    .write();
+        });
+    }
+
+    private long millisSince(long nanos) {
+        return Duration.ofNanos(timers.nanoTime() - nanos).toMillis();
+    }
+}
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
@@ -0,0 +1,288 @@
+package org.galenahinge.supply;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.galenahinge.concurrent.Timers;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.log.EventLog.Category;
+import org.galenahinge.upstream.HeldWeights;
+
+/**
+ * Keeps the weights that engines are to hold in an entry's memory, so that slot processes find them within their failure
+ * domain. Each chunk comes from the origin once and crosses into a region once, as long as nothing fails.
+ *
+ * <p>Belongs to one thread.
+ */
+public final class WeightsLibrary {
+    private static final int READS_AT_ONCE = 4;
+    private static final int VERSIONS_KEPT = 2;
+    private static final int MOST_WAITING = 512;
+    private static final Duration FIRST_RETRY = Duration.ofMillis(40);
+    private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
+
+    private final Sources sources;
+    private final Timers timers;
+    private final EventLog log;
+    private final Counter fromOrigin;
+    private final Counter fromNodes;
+    private final Counter spoilt;
+    private final Map<String, TreeMap<Long, Shelf>> shelves = new HashMap<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private Runnable changed = () -> {};
+
+    /** Names where a version comes from. */
+    @FunctionalInterface
+    public interface Sources {
+        /**
+         * Names a source.
+         *
+         * @param model the model
+         * @param failures how many reads in a row have failed
+         * @return the source, or empty when there is none now
+         */
+        Optional<WeightsSource> source(String model, int failures);
+    }
+
+    private record Waiting(HeldWeights weights, int number, Consumer<Optional<byte[]>> reply, Timers.Timer timer) {}
+
+    private static final class Shelf {
+        private final HeldWeights weights;
+        private final long sinceNanos;
+        private Optional<VersionCopy> copy = Optional.empty();
+        private boolean manifestAsked;
+        private int reading;
+        private int failures;
+
+        Shelf(HeldWeights weights, long sinceNanos) {
+            this.weights = weights;
+            this.sinceNanos = sinceNanos;
+        }
+    }
+
+    private WeightsLibrary(Sources sources, Timers timers, EventLog log, MetricRegistry metrics) {
+        this.sources = sources;
+        this.timers = timers;
+        this.log = log;
+        this.fromOrigin = metrics.counter("weights.chunks.from_origin");
+        this.fromNodes = metrics.counter("weights.chunks.from_nodes");
+        this.spoilt = metrics.counter("weights.chunks.spoilt");
+    }
+
+    /**
+     * Creates an empty library.
+     *
+     * @param sources names where versions come from
+     * @param timers the clock
+     * @param log where decisions are written
+     * @param metrics where chunks are counted
+     * @return the library
+     */
+    public static WeightsLibrary create(Sources sources, Timers timers, EventLog log, MetricRegistry metrics) {
+        return new WeightsLibrary(
+                Objects.requireNonNull(sources, "sources"),
+                Objects.requireNonNull(timers, "timers"),
+                Objects.requireNonNull(log, "log"),
+                Objects.requireNonNull(metrics, "metrics"));
+    }
+
+    /**
+     * Sets what runs when a version's manifest has come.
+     *
+     * @param listener the listener
+     */
+    public void onChange(Runnable listener) {
+        changed = Objects.requireNonNull(listener, "listener");
+    }
+
+    /**
+     * Begins to bring a version, unless it is here or older than what is.
+     *
+     * @param weights the model and its version
+     * @param sinceNanos when it was named
+     */
+    public void want(HeldWeights weights, long sinceNanos) {
+        TreeMap<Long, Shelf> versions = shelves.computeIfAbsent(weights.model(), model -> new TreeMap<>());
+        if (versions.containsKey(weights.version())
+                || (!versions.isEmpty() && versions.lastKey() > weights.version())) {
+            return;
+        }
+        Shelf shelf = new Shelf(weights, sinceNanos);
+        versions.put(weights.version(), shelf);
+        while (versions.size() > VERSIONS_KEPT) {
+            versions.pollFirstEntry();
+        }
+        readManifest(shelf);
+    }
+
+    /**
+     * Returns the newest version of a model whose manifest is known.
+     *
+     * @param model the model
+     * @return its digests and age, or empty
+     */
+    public Optional<Offer> offer(String model) {
+        TreeMap<Long, Shelf> versions = shelves.get(model);
+        if (versions == null || versions.isEmpty()) {
+            return Optional.empty();
+        }
+        Shelf newest = versions.lastEntry().getValue();
+        Duration age = Duration.ofNanos(timers.nanoTime() - newest.sinceNanos);
+        return newest.copy.map(copy -> new Offer(copy.digests(), age));
+    }
+
+    /**
+     * What engines are to hold.
+     *
+     * @param digests the version's digests
+     * @param age how long ago the version was named
+     */
+    public record Offer(WeightsDigests digests, Duration age) {}
+
+    /**
+     * Gives a chunk, when it is here.
+     *
+     * @param weights the model and its version
+     * @param number the chunk's number, from 0
+     * @param wait how long to wait for it
+     * @param reply takes the chunk, or nothing when it did not come in time
+     */
+    public void give(HeldWeights weights, int number, Duration wait, Consumer<Optional<byte[]>> reply) {
+        Optional<byte[]> held = find(weights).flatMap(shelf -> shelf.copy).flatMap(copy -> copy.chunk(number));
+        if (held.isPresent() || waiting.size() >= MOST_WAITING || find(weights).isEmpty()) {
+            reply.accept(held);
+            return;
+        }
+        Waiting[] holder = new Waiting[1];
+        Timers.Timer timer = timers.schedule(wait, () -> {
+            waiting.remove(holder[0]);
+            reply.accept(Optional.empty());
+        });
+        holder[0] = new Waiting(weights, number, reply, timer);
+        waiting.add(holder[0]);
+    }
+
+    private Optional<Shelf> find(HeldWeights weights) {
+        return Optional.ofNullable(shelves.get(weights.model())).map(versions -> versions.get(weights.version()));
+    }
+
+    private boolean isWanted(Shelf shelf) {
+        return find(shelf.weights).filter(found -> found == shelf).isPresent();
+    }
+
+    private void readManifest(Shelf shelf) {
+        if (shelf.manifestAsked || !isWanted(shelf)) {
+            return;
+        }
+        Optional<WeightsSource> source = sources.source(shelf.weights.model(), shelf.failures);
+        if (source.isEmpty()) {
+            timers.schedule(LONGEST_RETRY, () -> readManifest(shelf));
+            return;
+        }
+        shelf.manifestAsked = true;
+        source.get().manifest(shelf.weights).whenComplete((digests, error) -> {
+            shelf.manifestAsked = false;
+            if (error != null) {
+                missed(shelf, source.get(), "manifest", error);
+                timers.schedule(backoff(shelf), () -> readManifest(shelf));
+                return;
+            }
+            shelf.failures = 0;
+            shelf.copy = Optional.of(VersionCopy.of(digests));
+            log.event(Category.BELIEF, "manifest_known")
+                    .with("model", shelf.weights.model())
+                    .with("version", shelf.weights.version())
+                    .with("chunks", digests.size())
+                    .with("source", source.get().name())
+                    .write();
+            changed.run();
+            readChunks(shelf);
+        });
+    }
+
+    private void readChunks(Shelf shelf) {
+        VersionCopy copy = shelf.copy.orElseThrow();
+        while (isWanted(shelf) && shelf.reading < READS_AT_ONCE) {
+            Optional<WeightsSource> source = sources.source(shelf.weights.model(), shelf.failures);
+            OptionalInt next = source.isEmpty() ? OptionalInt.empty() : copy.askNext();
+            if (next.isEmpty()) {
+                break;
+            }
+            shelf.reading++;
+            readChunk(shelf, copy, source.get(), next.getAsInt());
+        }
+        if (shelf.reading == 0 && !copy.isWhole() && isWanted(shelf)) {
+            timers.schedule(LONGEST_RETRY, () -> readChunks(shelf));
+        }
+    }
+
+    private void readChunk(Shelf shelf, VersionCopy copy, WeightsSource source, int number) {
+        source.chunk(shelf.weights, number).whenComplete((content, error) -> {
+            shelf.reading--;
+            if (error == null && copy.put(number, content)) {
+                shelf.failures = 0;
+                (source.isOrigin() ? fromOrigin : fromNodes).inc();
+                arrived(shelf, number, content);
+                if (copy.isWhole()) {
+                    tellWhole(shelf);
+                }
+                readChunks(shelf);
+                return;
+            }
+            copy.missed(number);
+            if (error == null) {
+                spoilt.inc();
+                missed(shelf, source, "chunk " + number, new SupplyException("the digest differs"));
+            } else {
+                missed(shelf, source, "chunk " + number, error);
+            }
+            timers.schedule(backoff(shelf), () -> readChunks(shelf));
+        });
+    }
+
+    private void arrived(Shelf shelf, int number, byte[] content) {
+        for (Waiting one : List.copyOf(waiting)) {
+            if (one.number() == number && one.weights().equals(shelf.weights)) {
+                waiting.remove(one);
+                one.timer().cancel();
+                one.reply().accept(Optional.of(content));
+            }
+        }
+    }
+
+    private void missed(Shelf shelf, WeightsSource source, String what, Throwable error) {
+        shelf.failures++;
+        log.event(Category.FAILURE, "weights_missed")
+                .with("model", shelf.weights.model())
+                .with("version", shelf.weights.version())
+                .with("what", what)
+                .with("source", source.name())
+                .with("failures", shelf.failures)
+                .with("detail", String.valueOf(error.getMessage()))
+                .write();
+    }
+
+    private void tellWhole(Shelf shelf) {
+        log.event(Category.BELIEF, "weights_whole")
+                .with("model", shelf.weights.model())
+                .with("version", shelf.weights.version())
+                .with(
+                        "after_ms",
+                        Duration.ofNanos(timers.nanoTime() - shelf.sinceNanos).toMillis())
+                .write();
+    }
+
+    private static Duration backoff(Shelf shelf) {
+        long millis = FIRST_RETRY.toMillis() << Math.min(shelf.failures, 4);
+        return Duration.ofMillis(Math.min(millis, LONGEST_RETRY.toMillis()));
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/wire/DatagramNetwork.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/DatagramNetwork.java
@@ -12,10 +12,13 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
-/** Sends and receives membership messages as datagrams. */
+/** Sends and receives small messages as datagrams. */
 public final class DatagramNetwork {
     /** What UDP and IP add to each datagram, in bytes; it is counted with the control traffic. */
     public static final int HEADER_BYTES = 28;
@@ -34,16 +37,20 @@
      * @param threads the threads that serve it
      * @param address where to listen
      * @param metrics counts the bytes
+     * @param reader reads a datagram, or finds that it cannot be read
      * @param handler handles each message; called on a network thread
+     * @param <T> the type of the messages
      * @return the network
      * @throws IOException when the port is in use
      */
-    public static DatagramNetwork listen(
+    public static <T> DatagramNetwork listen(
             NetworkThreads threads,
             WireAddress address,
             MetricRegistry metrics,
-            Consumer<MembershipCodec.Received> handler)
+            Function<ByteBuffer, Optional<T>> reader,
+            Consumer<T> handler)
             throws IOException {
+        Objects.requireNonNull(reader, "reader");
         Objects.requireNonNull(handler, "handler");
         Counter control = metrics.counter("wire.control.bytes");
         Counter malformed = metrics.counter("wire.frames.malformed");
@@ -53,7 +60,7 @@
                 .handler(new ChannelInitializer<NioDatagramChannel>() {
                     @Override
                     protected void initChannel(NioDatagramChannel opened) {
-                        opened.pipeline().addLast(new Receiver(handler, control, malformed));
+                        opened.pipeline().addLast(new Receiver<>(reader, handler, control, malformed));
                     }
                 });
         Channel bound = NetworkThreads.awaitBound(bootstrap.bind(address.host(), address.port()), address);
@@ -73,13 +80,15 @@
                 channel.voidPromise());
     }
 
-    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        private final Consumer<MembershipCodec.Received> handler;
+    private static final class Receiver<T> extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final Function<ByteBuffer, Optional<T>> reader;
+        private final Consumer<T> handler;
         private final Counter control;
         private final Counter malformed;
 
-        Receiver(Consumer<MembershipCodec.Received> handler, Counter control, Counter malformed) {
+        Receiver(Function<ByteBuffer, Optional<T>> reader, Consumer<T> handler, Counter control, Counter malformed) {
             super(DatagramPacket.class);
+            this.reader = reader;
             this.handler = handler;
             this.control = control;
             this.malformed = malformed;
@@ -88,7 +97,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             control.inc(packet.content().readableBytes() + (long) HEADER_BYTES);
-            MembershipCodec.read(packet.content().nioBuffer()).ifPresentOrElse(handler, malformed::inc);
+            reader.apply(packet.content().nioBuffer()).ifPresentOrElse(handler, malformed::inc);
         }
 
         @Override
--- a/galenahinge/src/main/java/org/galenahinge/wire/WireAddress.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/WireAddress.java
@@ -1,5 +1,6 @@
 package org.galenahinge.wire;
 
+import java.net.InetSocketAddress;
 import java.util.Objects;
 
 /**
@@ -17,6 +18,33 @@
         }
     }
 
+    /**
+     * Reads an address.
+     *
+     * @param text host and port, with a colon between
+     * @return the address
+     */
+    public static WireAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("not host and port: " + text);
+        }
+        try {
+            return new WireAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("not host and port: " + text, e);
+        }
+    }
+
+    /**
+     * Returns the address for a socket.
+     *
+     * @return the socket address
+     */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/galenahinge/src/test/java/org/galenahinge/ArchitectureTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/ArchitectureTest.java
@@ -58,7 +58,7 @@
                                         "org.galenahinge.slot",
                                         "org.galenahinge.engine",
                                         "org.galenahinge.http",
-                                        "org.galenahinge.platform")
+                                        "org.galenahinge.reader")
                                 .should()
                                 .dependOnClassesThat()
                                 .resideInAnyPackage("org.apache.pekko..")),
