Let the engines of a service stop for loading one after the other

An entry now tells each slot process its place among the engines of its service and when the versions were named; turns are spread over what is left of the time.

--- a/bench/src/main/java/org/galenahinge/bench/MembershipExperiment.java
+++ b/bench/src/main/java/org/galenahinge/bench/MembershipExperiment.java
@@ -139,7 +139,8 @@
                         name, MembershipCore.Timing.STANDARD, seed * 31 + index, System.nanoTime());
                 core.listed(names, System.nanoTime());
                 try {
-                    this.network = DatagramNetwork.listen(threads, address(index), metrics, MembershipCodec::read, this::received);
+                    this.network = DatagramNetwork.listen(
+                            threads, address(index), metrics, MembershipCodec::read, this::received);
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -132,6 +132,16 @@
         return versions.isEmpty() ? Optional.empty() : Optional.of(versions.get(versions.size() - 1));
     }
 
+    /**
+     * Returns the versions of a model that were named lately.
+     *
+     * @param model the model's name
+     * @return the versions, oldest first
+     */
+    public List<NamedWeights> allNamed(String model) {
+        return named.getOrDefault(model, List.of());
+    }
+
     /**
      * Finds the newest version of a model that has been named for a while.
      *
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryWeights.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryWeights.java
@@ -11,12 +11,14 @@
 import java.util.concurrent.CompletionStage;
 import org.galenahinge.http.Exchange;
 import org.galenahinge.http.WholeAnswer;
+import org.galenahinge.supply.LoadPlan;
 import org.galenahinge.supply.SupplyException;
 import org.galenahinge.supply.WeightsDigests;
 import org.galenahinge.supply.WeightsSource;
 import org.galenahinge.upstream.HeldWeights;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.WireAddress;
+import org.galenahinge.wire.generated.NamedVersion;
 import org.galenahinge.wire.generated.WeightsOffer;
 
 /** Reads weights from an entry. */
@@ -38,7 +40,7 @@
     }
 
     /** What an entry says of the weights of a service, with the entries that it knows to be up. */
-    record Heard(Optional<WeightsDigests> digests, Duration age, List<String> nodes) {
+    record Heard(Optional<WeightsDigests> digests, Duration age, LoadPlan plan, List<String> nodes) {
         Heard {
             nodes = List.copyOf(nodes);
         }
@@ -48,12 +50,14 @@
      * Asks which weights a service's engines are to hold.
      *
      * @param service the service
+     * @param upstream where the asker's engine listens
      * @param knownVersion the version that the asker knows, 0 for none
      * @param wait how long to wait for a newer one
      * @return what the entry says
      */
-    CompletionStage<Heard> wanted(String service, long knownVersion, Duration wait) {
-        String path = "/weights?service=" + service + "&known=" + knownVersion + "&wait=" + wait.toMillis();
+    CompletionStage<Heard> wanted(String service, WireAddress upstream, long knownVersion, Duration wait) {
+        String path = "/weights?service=" + service + "&upstream=" + upstream + "&known=" + knownVersion + "&wait="
+                + wait.toMillis();
         return get(path, wait.plus(MARGIN)).thenApply(EntryWeights::parse);
     }
 
@@ -85,9 +89,14 @@
         return address.toString();
     }
 
-    static byte[] write(Optional<WeightsDigests> digests, Duration age, List<String> nodes) {
+    static byte[] write(Optional<WeightsDigests> digests, Duration age, LoadPlan plan, List<String> nodes) {
         WeightsOffer.Builder offer =
                 WeightsOffer.newBuilder().setAgeMillis(age.toMillis()).addAllNodes(nodes);
+        offer.setPlace(plan.place());
+        plan.versions()
+                .forEach(named -> offer.addNamed(NamedVersion.newBuilder()
+                        .setVersion(named.version())
+                        .setAgeMillis(named.age().toMillis())));
         digests.ifPresent(known -> {
             offer.setModel(known.weights().model()).setVersion(known.weights().version());
             known.digests().forEach(digest -> offer.addDigests(ByteString.copyFrom(HEX.decode(digest))));
@@ -105,7 +114,12 @@
                             offer.getDigestsList().stream()
                                     .map(digest -> HEX.encode(digest.toByteArray()))
                                     .toList()));
-            return new Heard(digests, Duration.ofMillis(offer.getAgeMillis()), offer.getNodesList());
+            List<LoadPlan.NamedVersion> named = offer.getNamedList().stream()
+                    .map(version ->
+                            new LoadPlan.NamedVersion(version.getVersion(), Duration.ofMillis(version.getAgeMillis())))
+                    .toList();
+            LoadPlan plan = new LoadPlan(named, offer.getPlace());
+            return new Heard(digests, Duration.ofMillis(offer.getAgeMillis()), plan, offer.getNodesList());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             throw new SupplyException("the entry's answer cannot be read: " + e.getMessage());
         }
--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -15,7 +15,6 @@
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
-import org.galenahinge.routing.Rendezvous;
 import org.galenahinge.supply.EngineControl;
 import org.galenahinge.supply.EngineControl.EngineReport;
 import org.galenahinge.supply.ModelKeeper;
@@ -36,7 +35,6 @@
     private static final Duration ASK_WAIT = Duration.ofMillis(700);
     private static final Duration ASK_RETRY = Duration.ofMillis(200);
     private static final int MOST_FAR_ENTRIES = 6;
-    private static final int TURNS = 4;
 
     private final NodeSettings settings;
     private final String service;
@@ -73,8 +71,7 @@
         this.roster = new EntryRoster(settings.zone(), seed);
         this.upstream = settings.upstream().orElseThrow();
         this.engine = platform.engine(threads, upstream);
-        int turn = (int) Math.floorMod(Rendezvous.key(settings.name()), (long) TURNS);
-        this.keeper = ModelKeeper.create(engine, this::source, turn, timers, log, metrics);
+        this.keeper = ModelKeeper.create(engine, this::source, settings.bounds().versionWithin(), timers, log, metrics);
         keeper.onLoading(() -> last.ifPresent(this::tell));
     }
 
@@ -213,7 +210,7 @@
             return;
         }
         new EntryWeights(threads, entry.get())
-                .wanted(service, keeper.wantedVersion(), ASK_WAIT)
+                .wanted(service, upstream, keeper.wantedVersion(), ASK_WAIT)
                 .whenComplete((heard, error) -> {
                     if (error == null) {
                         heard(heard);
@@ -237,7 +234,7 @@
         if (!cards.isEmpty()) {
             roster.update(cards);
         }
-        heard.digests().ifPresent(digests -> keeper.want(digests, heard.age()));
+        heard.digests().ifPresent(digests -> keeper.want(digests, heard.age(), heard.plan()));
     }
 
     /** The nearest entry, another one after each failure; the seeds while none is known or none answers. */
--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -25,7 +25,7 @@
     private static final int CHUNKS_AT_ONCE = 3;
     private static final Duration VERIFIED_FOR = Duration.ofMillis(1_200);
     private static final Duration RETRY = Duration.ofMillis(80);
-    private static final Duration ORDER_SPACING = Duration.ofMillis(500);
+    private static final Duration RESERVE = Duration.ofMillis(1_200);
     private static final Duration QUIESCE = Duration.ofMillis(60);
 
     private final EngineControl engine;
@@ -34,10 +34,13 @@
     private final EventLog log;
     private final Counter fetched;
     private final Counter spoilt;
-    private final Duration turn;
+    private final Duration versionWithin;
     private Runnable loadingBegins = () -> {};
     private Optional<WeightsDigests> wanted = Optional.empty();
     private long wantedSinceNanos;
+    private LoadPlan plan = LoadPlan.UNKNOWN;
+    private long planNanos;
+    private Optional<Long> turnNanos = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
     private Optional<Pass> pass = Optional.empty();
     private boolean loading;
@@ -65,13 +68,13 @@
     private ModelKeeper(
             EngineControl engine,
             Function<Integer, Optional<WeightsSource>> sources,
-            int turn,
+            Duration versionWithin,
             Timers timers,
             EventLog log,
             MetricRegistry metrics) {
         this.engine = engine;
         this.sources = sources;
-        this.turn = ORDER_SPACING.multipliedBy(turn);
+        this.versionWithin = versionWithin;
         this.timers = timers;
         this.log = log;
         this.fetched = metrics.counter("weights.chunks.fetched");
@@ -83,7 +86,7 @@
      *
      * @param engine the engine on the own VM
      * @param sources names where chunks come from, by how many reads in a row have failed
-     * @param turn this engine's turn, from 0, so that not all stop to load at once
+     * @param versionWithin from the naming of a version until all requests must begin on it
      * @param timers the clock
      * @param log where decisions are written
      * @param metrics where chunks are counted
@@ -92,14 +95,14 @@
     public static ModelKeeper create(
             EngineControl engine,
             Function<Integer, Optional<WeightsSource>> sources,
-            int turn,
+            Duration versionWithin,
             Timers timers,
             EventLog log,
             MetricRegistry metrics) {
         return new ModelKeeper(
                 Objects.requireNonNull(engine, "engine"),
                 Objects.requireNonNull(sources, "sources"),
-                turn,
+                Objects.requireNonNull(versionWithin, "versionWithin"),
                 Objects.requireNonNull(timers, "timers"),
                 Objects.requireNonNull(log, "log"),
                 Objects.requireNonNull(metrics, "metrics"));
@@ -119,8 +122,11 @@
      *
      * @param digests the version and its digests
      * @param age how long ago it was named
+     * @param newPlan when engines that work are to stop for loading
      */
-    public void want(WeightsDigests digests, Duration age) {
+    public void want(WeightsDigests digests, Duration age, LoadPlan newPlan) {
+        plan = newPlan;
+        planNanos = timers.nanoTime();
         long known = wanted.map(held -> held.weights().version()).orElse(0L);
         if (digests.weights().version() <= known) {
             return;
@@ -128,6 +134,7 @@
         wanted = Optional.of(digests);
         wantedSinceNanos = timers.nanoTime() - age.toNanos();
         failures = 0;
+        turnNanos = Optional.empty();
         log.event(Category.BELIEF, "weights_wanted")
                 .with("model", digests.weights().model())
                 .with("version", digests.weights().version())
@@ -306,16 +313,25 @@
         awaitTurn(() -> order(one));
     }
 
-    /** An engine without weights loads at once; those that work take turns. */
+    /** An engine without weights loads at once; one that works goes on until its turn, then reads its chunks back. */
     private void awaitTurn(Runnable action) {
-        boolean works = report.flatMap(EngineReport::weights).isPresent();
-        Duration sinceNamed = Duration.ofNanos(timers.nanoTime() - wantedSinceNanos);
-        Duration wait = works ? turn.minus(sinceNamed.minus(Duration.ofMillis(3_500))) : Duration.ZERO;
-        if (wait.isNegative() || wait.isZero() || wait.compareTo(turn) > 0) {
+        long now = timers.nanoTime();
+        if (turnNanos.isEmpty()) {
+            turnNanos = Optional.of(now + untilTurn().toNanos());
+        }
+        long left = turnNanos.get() - now;
+        if (left <= 0) {
             action.run();
             return;
         }
-        timers.schedule(wait, this::begin);
+        timers.schedule(Duration.ofNanos(left), this::begin);
+    }
+
+    private Duration untilTurn() {
+        Duration sinceHeard = Duration.ofNanos(timers.nanoTime() - planNanos);
+        return report.flatMap(EngineReport::weights)
+                .map(held -> plan.untilTurn(held.version(), sinceHeard, versionWithin, RESERVE))
+                .orElse(Duration.ZERO);
     }
 
     private void order(Pass one) {
