--- a/galenahinge/src/main/java/org/galenahinge/daemon/StopSignals.java
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/StopSignals.java
@@ -33,6 +33,15 @@
         }
     }
 
+    /**
+     * Listens for the signal that asks a daemon to read its settings again.
+     *
+     * @param reload reads them; must not block
+     */
+    public static void listenForReload(Runnable reload) {
+        register("HUP", Objects.requireNonNull(reload, "reload"));
+    }
+
     private static void heard(String name, int count, Runnable gracefulStop) {
         if (count > 1) {
             LOG.warnf("signal %s again: stopping at once", name);
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -54,7 +54,7 @@
     private final EventLog log;
     private final Runnable changed;
     private final Map<String, Status> told = new HashMap<>();
-    private final List<WireAddress> seeds;
+    private List<WireAddress> seeds;
     private final Random random;
     private NetworkThreads threads;
     private DatagramNetwork network;
@@ -97,6 +97,11 @@
         publish();
     }
 
+    /** Takes in where some entries may be found now. */
+    void reseed(List<WireAddress> newSeeds) {
+        seeds = List.copyOf(newSeeds);
+    }
+
     /** Begins to ping, and so to be known: once this node can serve. */
     void join() {
         if (joined) {
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -43,7 +43,7 @@
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
     private static final Duration JOIN_CHECK = Duration.ofMillis(50);
 
-    private final NodeSettings settings;
+    private volatile NodeSettings settings;
     private final NetworkThreads threads;
     private final Timers timers;
     private final EventLog log;
@@ -156,6 +156,23 @@
         return settings.bounds().addressesKept();
     }
 
+    /**
+     * Takes in changed settings: seeds, the times for stopping and for keeping addresses. Where it listens stays as it
+     * is until the next start.
+     *
+     * @param changed the new settings
+     */
+    public void reload(NodeSettings changed) {
+        threads.group().next().execute(() -> {
+            settings = changed;
+            membership.reseed(changed.seeds());
+            log.event(Category.LIFECYCLE, "settings_reloaded")
+                    .with("seeds", changed.seeds().size())
+                    .with("stop_within_ms", changed.bounds().stopWithin().toMillis())
+                    .write();
+        });
+    }
+
     /**
      * Stops gracefully: says so to callers and nodes, ends what is under way, then ends.
      *
--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -36,7 +36,7 @@
     private static final Duration ASK_RETRY = Duration.ofMillis(200);
     private static final int MOST_FAR_ENTRIES = 6;
 
-    private final NodeSettings settings;
+    private volatile NodeSettings settings;
     private final String service;
     private final NetworkThreads threads;
     private final Timers timers;
@@ -103,6 +103,20 @@
         return node;
     }
 
+    /**
+     * Takes in changed settings: the seeds. Where it listens stays as it is until the next start.
+     *
+     * @param changed the new settings
+     */
+    public void reload(NodeSettings changed) {
+        threads.group().next().execute(() -> {
+            settings = changed;
+            log.event(Category.LIFECYCLE, "settings_reloaded")
+                    .with("seeds", changed.seeds().size())
+                    .write();
+        });
+    }
+
     /**
      * Stops: nothing of it is under way that others wait for.
      *
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/catalog/RouteTableTest.java
@@ -0,0 +1,62 @@
+package org.galenahinge.catalog;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RouteTableTest {
+    private static final RouteTable TABLE =
+            RouteTable.of(List.of(route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")));
+
+    @ParameterizedTest
+    @CsvSource({
+        "h, /a/x, short",
+        "h, /a/b/x, long",
+        "h, /a/b/, long",
+        "h, /a/b, short",
+        "H:8080, /a/b/c/d, long",
+        "h, /c/x, other",
+        "h, /ab/x, none",
+        "h, /, none",
+        "unknown, /a/x, none"
+    })
+    void findsTheLongestPrefix(String host, String path, String expected) {
+        assertThat(TABLE.find(host, path).map(Route::name).orElse("none")).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.0, first", "0.89, first", "0.91, second", "0.999, second"})
+    void sharesRequestsByWeight(double draw, String expected) {
+        Route route = new Route(
+                "split",
+                "h",
+                "/",
+                CallKind.IDEMPOTENT,
+                Duration.ofSeconds(1),
+                Duration.ofMillis(100),
+                Duration.ZERO,
+                0,
+                List.of(new Backend("first", 90), new Backend("second", 10)),
+                1,
+                false);
+        assertThat(route.pickService(draw)).isEqualTo(expected);
+    }
+
+    private static Route route(String name, String prefix) {
+        return new Route(
+                name,
+                "h",
+                prefix,
+                CallKind.IDEMPOTENT,
+                Duration.ofSeconds(1),
+                Duration.ofMillis(100),
+                Duration.ZERO,
+                0,
+                List.of(new Backend("s", 1)),
+                1,
+                false);
+    }
+}
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
@@ -0,0 +1,70 @@
+package org.galenahinge.facts;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class FactLogTest {
+    @Property(tries = 200, seed = "4711")
+    void orderRepeatsAndLossOfChangesDoNotMatter(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<FactItem> changes = new ArrayList<>();
+        for (long revision = 1; revision <= 60; revision++) {
+            String key = "k" + random.nextInt(8);
+            changes.add(random.nextInt(4) == 0 ? FactItem.removed(key, revision) : item(key, revision));
+        }
+        FactLog ordered = new FactLog();
+        ordered.join(changes, 60);
+        FactLog shuffled = new FactLog();
+        for (int round = 0; round < 3; round++) {
+            Collections.shuffle(changes, random);
+            shuffled.join(changes.subList(0, 30 + random.nextInt(30)), 0);
+        }
+        shuffled.join(changes, 60);
+        assertThat(living(shuffled)).isEqualTo(living(ordered));
+    }
+
+    @Test
+    void listingRemovesWhatItLacksButNothingNewer() {
+        FactLog log = new FactLog();
+        log.join(List.of(item("old", 5), item("new", 12)), 12);
+        log.joinListing(List.of(item("other", 3)), 10);
+        assertThat(living(log)).containsExactlyInAnyOrder(item("other", 3), item("new", 12));
+    }
+
+    @Test
+    void anOlderCopyCannotBringBackWhatWasRemoved() {
+        FactLog log = new FactLog();
+        log.join(List.of(item("key", 5)), 5);
+        log.join(List.of(FactItem.removed("key", 9)), 9);
+        assertThat(log.join(List.of(item("key", 5)), 5)).isEmpty();
+        assertThat(living(log)).isEmpty();
+    }
+
+    @Test
+    void tellsAllWhereRemovalsMayBeForgotten() {
+        FactLog log = new FactLog();
+        for (int number = 0; number < FactLog.MAXIMUM_REMOVALS + 10; number++) {
+            log.join(List.of(FactItem.removed("k" + number, number + 1)), number + 1);
+        }
+        assertThat(log.changesAfter(3).whole()).isTrue();
+        assertThat(log.changesAfter(FactLog.MAXIMUM_REMOVALS).whole()).isFalse();
+    }
+
+    private static Set<FactItem> living(FactLog log) {
+        return new HashSet<>(log.changesAfter(0).items());
+    }
+
+    private static FactItem item(String key, long revision) {
+        return FactItem.written(key, (key + revision).getBytes(StandardCharsets.UTF_8), revision);
+    }
+}
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -0,0 +1,98 @@
+package org.galenahinge.facts;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.galenahinge.catalog.CallerLimits;
+import org.galenahinge.catalog.Catalog;
+import org.galenahinge.catalog.RouteTable;
+import org.galenahinge.concurrent.ManualTimers;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.upstream.HeldWeights;
+import org.galenahinge.upstream.Upstream;
+import org.galenahinge.wire.WireAddress;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FleetFactsTest {
+    private final ManualTimers timers = new ManualTimers();
+    private final EventLog log = EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry());
+    private final FleetFacts facts = FleetFacts.create(FleetFactsTest::decode, timers, log);
+
+    @ParameterizedTest
+    @CsvSource({"1 2 3, 3", "3 2 1, 3", "2 5 4 5, 5"})
+    void theHighestConfigurationWinsAndNeverGoesBack(String versions, long expected) {
+        long revision = 1;
+        for (String version : List.of(versions.split(" ", -1))) {
+            facts.apply(List.of(item("config " + version, revision++)));
+        }
+        assertThat(facts.catalog().orElseThrow().version()).isEqualTo(expected);
+    }
+
+    @Test
+    void anEntryThatLapsedWhileTheStoreWasAwayIsKeptUntilItMayBeBack() {
+        facts.apply(List.of(item("up a", 1)));
+        facts.storeReturned();
+        facts.apply(List.of(FactItem.removed("up a", 2)));
+        assertThat(facts.find("a")).isPresent();
+        timers.advance(Duration.ofMillis(1_900));
+        assertThat(facts.find("a")).isPresent();
+        timers.advance(Duration.ofMillis(200));
+        assertThat(facts.find("a")).isEmpty();
+    }
+
+    @Test
+    void anEntryThatComesBackInTimeStays() {
+        facts.apply(List.of(item("up a", 1)));
+        facts.storeReturned();
+        facts.apply(List.of(FactItem.removed("up a", 2)));
+        timers.advance(Duration.ofMillis(800));
+        facts.apply(List.of(item("up a", 3)));
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(facts.find("a")).isPresent();
+    }
+
+    @Test
+    void anEntryThatIsRemovedInQuietTimesIsGoneAtOnce() {
+        facts.apply(List.of(item("up a", 1)));
+        facts.apply(List.of(FactItem.removed("up a", 2)));
+        assertThat(facts.find("a")).isEmpty();
+    }
+
+    @Test
+    void namesTheNewestVersionThatIsOldEnough() {
+        facts.apply(List.of(item("named 2", 1)));
+        timers.advance(Duration.ofSeconds(2));
+        facts.apply(List.of(item("named 3", 2)));
+        timers.advance(Duration.ofMillis(5_500));
+        assertThat(facts.namedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(2));
+        assertThat(facts.namedOf("m").orElseThrow().weights().version()).isEqualTo(3);
+    }
+
+    private static FactItem item(String key, long revision) {
+        return FactItem.written(key, new byte[0], revision);
+    }
+
+    private static Fact decode(FactItem item) {
+        String[] words = item.key().split(" ", -1);
+        if (words[0].equals("config")) {
+            return new Fact.Configured(new Catalog(
+                    Long.parseLong(words[1]), RouteTable.of(List.of()), Map.of(), Map.of(), CallerLimits.INITIAL));
+        }
+        if (words[0].equals("named")) {
+            return new Fact.Named(new HeldWeights("m", Long.parseLong(words[1])));
+        }
+        if (item.removed()) {
+            return new Fact.Absent(words[1], "removed");
+        }
+        return new Fact.Present(new Upstream(
+                words[1], "s", new WireAddress("10.0.0.1", 80), "z", 1, false, Optional.empty(), 0, item.revision()));
+    }
+}
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -0,0 +1,100 @@
+package org.galenahinge.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.galenahinge.catalog.EngineFigures;
+import org.galenahinge.placement.UpstreamLoad.LoadReport;
+import org.galenahinge.upstream.HeldWeights;
+import org.galenahinge.upstream.Upstream;
+import org.galenahinge.wire.WireAddress;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PlacementTest {
+    private static final EngineFigures FIGURES =
+            new EngineFigures(16, 317_000, 9.27, 0.0232, 0.0322, 20.7, 1.18, 2_048, 5, 16, 64, 32_768, List.of("m"));
+    private static final long NOW = 1_000_000_000L;
+
+    private final Placement placement = Placement.create("a", 1);
+
+    @Test
+    void prefersTheOwnFailureDomainWhileItIsAsGood() {
+        List<Candidate> candidates = List.of(engine("far", "b", 1), engine("near", "a", 1));
+        assertThat(chosen(candidates, demand(500))).isEqualTo("near");
+    }
+
+    @Test
+    void goesFurtherWhereTheOwnFailureDomainIsFull() {
+        Candidate near = engine("near", "a", 1);
+        near.load().reported(new LoadReport(16, 0, 20_000, 1, false, held(1)), NOW);
+        assertThat(chosen(List.of(engine("far", "b", 1), near), demand(500))).isEqualTo("far");
+    }
+
+    /** Long prompts that arrive together: read one after the other, they would hold up all writers of one engine. */
+    @Test
+    void spreadsLongPromptsThatArriveTogether() {
+        List<Candidate> candidates = List.of(engine("one", "a", 1), engine("two", "a", 1));
+        List<String> placed = new ArrayList<>();
+        for (int call = 0; call < 4; call++) {
+            Choice.Chosen choice = (Choice.Chosen) choose(candidates, demand(3_000));
+            choice.candidate().load().sent(new Object(), 3_000, NOW);
+            placed.add(choice.candidate().upstream().id());
+        }
+        assertThat(placed).containsExactlyInAnyOrder("one", "one", "two", "two");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void keepsRequestsFromOldWeightsOnceTheirTimeIsOver(long version) {
+        List<Candidate> candidates = List.of(engine("engine", "a", version));
+        Demand demand = new Demand(Optional.of(new PromptShape("m", 500, 80)), Set.of(), OptionalLong.of(2));
+        Choice choice = choose(candidates, demand);
+        assertThat(choice instanceof Choice.Chosen).isEqualTo(version >= 2);
+    }
+
+    @Test
+    void sendsNothingToEnginesThatLoadOrRest() {
+        Candidate loading = engine("loading", "a", 1);
+        loading.load().reported(new LoadReport(0, 0, 0, 1, true, held(1)), NOW);
+        Candidate resting = engine("resting", "a", 1);
+        resting.load().failed(NOW);
+        resting.load().failed(NOW);
+        assertThat(choose(List.of(loading, resting), demand(100))).isEqualTo(new Choice.Full(2));
+    }
+
+    @Test
+    void saysAtOnceThatNothingCanServeAPromptLargerThanTheMemory() {
+        assertThat(choose(List.of(engine("engine", "a", 1)), demand(400_000))).isInstanceOf(Choice.Nowhere.class);
+    }
+
+    private String chosen(List<Candidate> candidates, Demand demand) {
+        return ((Choice.Chosen) choose(candidates, demand))
+                .candidate()
+                .upstream()
+                .id();
+    }
+
+    private Choice choose(List<Candidate> candidates, Demand demand) {
+        return placement.choose(candidates, Optional.of(FIGURES), demand, NOW);
+    }
+
+    private static Demand demand(int promptTokens) {
+        return new Demand(Optional.of(new PromptShape("m", promptTokens, 80)), Set.of(), OptionalLong.empty());
+    }
+
+    private static Candidate engine(String id, String zone, long version) {
+        Upstream upstream =
+                new Upstream(id, "s", new WireAddress("10.0.0.1", 80), zone, 16, false, held(version), 0, 1);
+        return new Candidate(upstream, new UpstreamLoad());
+    }
+
+    private static Optional<HeldWeights> held(long version) {
+        return Optional.of(new HeldWeights("m", version));
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small stand-ins for the users' platform, written from its pages: the store, a server, an engine and the origin.
+ */
+package org.galenahinge.standins.platform;
