Offer an older whole version while the newest cannot be had; take a version for old that most engines hold at the start

Now an entry offers the newest version that is whole or comes along, and a version heard at the start counts as due when most engines hold it. Tests: FleetFactsTest, ModelKeeperTest.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -41,6 +41,7 @@
     private Runnable changed = () -> {};
     private long graceUntilNanos;
     private boolean inGrace;
+    private boolean begun;
 
     private FleetFacts(FactDecoder decoder, Timers timers, EventLog log) {
         this.decoder = decoder;
@@ -82,6 +83,7 @@
             apply(item, decoder.decode(item));
         }
         if (!items.isEmpty()) {
+            begun = true;
             changed.run();
         }
     }
@@ -152,11 +154,27 @@
     public OptionalLong namedBefore(String model, Duration age) {
         long now = timers.nanoTime();
         return named.getOrDefault(model, List.of()).stream()
-                .filter(version -> now - version.sinceNanos() >= age.toNanos())
+                .filter(version -> now - version.sinceNanos() >= age.toNanos() || isOld(version))
                 .mapToLong(version -> version.weights().version())
                 .max();
     }
 
+    /** A version that was there when this node started, and that most engines hold, was named long before. */
+    private boolean isOld(NamedWeights version) {
+        if (!version.atStart()) {
+            return false;
+        }
+        List<Long> held = upstreams.values().stream()
+                .flatMap(upstream -> upstream.weights().stream())
+                .filter(weights -> weights.model().equals(version.weights().model()))
+                .map(HeldWeights::version)
+                .toList();
+        long holders = held.stream()
+                .filter(number -> number >= version.weights().version())
+                .count();
+        return holders * 2 > held.size();
+    }
+
     /**
      * Returns the models of which versions were named.
      *
@@ -263,7 +281,7 @@
         boolean taken = weights.version() > held;
         if (taken) {
             List<NamedWeights> versions = new ArrayList<>(named.getOrDefault(weights.model(), List.of()));
-            versions.add(new NamedWeights(weights, timers.nanoTime()));
+            versions.add(new NamedWeights(weights, timers.nanoTime(), !begun));
             int first = Math.max(0, versions.size() - VERSIONS_REMEMBERED);
             named.put(weights.model(), List.copyOf(versions.subList(first, versions.size())));
         }
@@ -280,8 +298,9 @@
      *
      * @param weights the model and its version
      * @param sinceNanos when this node heard of it
+     * @param atStart whether it was among the first that this node heard, so that it may have been named long before
      */
-    public record NamedWeights(HeldWeights weights, long sinceNanos) {
+    public record NamedWeights(HeldWeights weights, long sinceNanos, boolean atStart) {
         /** Checks the parts. */
         public NamedWeights {
             Objects.requireNonNull(weights, "weights");
--- a/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
@@ -89,13 +89,12 @@
     private void answerWanted(QueryStringDecoder query, Consumer<HttpDocument> reply) {
         String service = NodeQuery.text(query, "service");
         long known = NodeQuery.number(query, "known");
-        await(() -> modelOf(service).flatMap(library::offer).filter(offer -> versionOf(offer) > known), query, reply);
+        await(() -> modelOf(service).flatMap(library::offer).filter(offer -> versionOf(offer) != known), query, reply);
     }
 
     private void answerManifest(QueryStringDecoder query, Consumer<HttpDocument> reply) {
-        String model = NodeQuery.text(query, "model");
-        long version = NodeQuery.number(query, "version");
-        await(() -> library.offer(model).filter(offer -> versionOf(offer) == version), query, reply);
+        HeldWeights weights = new HeldWeights(NodeQuery.text(query, "model"), NodeQuery.number(query, "version"));
+        await(() -> library.find(weights), query, reply);
     }
 
     private void await(Supplier<Optional<Offer>> offer, QueryStringDecoder query, Consumer<HttpDocument> reply) {
--- a/galenahinge/src/main/java/org/galenahinge/supply/LoadPlan.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/LoadPlan.java
@@ -36,6 +36,15 @@
         }
     }
 
+    /**
+     * Returns the newest version named.
+     *
+     * @return its number, 0 for none
+     */
+    public long newest() {
+        return versions.stream().mapToLong(NamedVersion::version).max().orElse(0);
+    }
+
     /**
      * Returns how long an engine whose chunks are ready now is to go on working.
      *
--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -38,6 +38,7 @@
     private Runnable loadingBegins = () -> {};
     private Optional<WeightsDigests> wanted = Optional.empty();
     private long wantedSinceNanos;
+    private long newestNamed;
     private LoadPlan plan = LoadPlan.UNKNOWN;
     private long planNanos;
     private Optional<Long> turnNanos = Optional.empty();
@@ -118,17 +119,24 @@
     }
 
     /**
-     * Takes in what the engine is to hold. An older version than the one wanted is left out.
+     * Takes in what the engine is to hold. Word from an entry that has not heard of the newest version yet is left out;
+     * one that has may name an older version again, when the newest cannot be had for now.
      *
      * @param digests the version and its digests
      * @param age how long ago it was named
      * @param newPlan when engines that work are to stop for loading
      */
     public void want(WeightsDigests digests, Duration age, LoadPlan newPlan) {
+        long named = Math.max(newPlan.newest(), digests.weights().version());
+        if (named < newestNamed) {
+            return;
+        }
+        newestNamed = named;
         plan = newPlan;
         planNanos = timers.nanoTime();
-        long known = wanted.map(held -> held.weights().version()).orElse(0L);
-        if (digests.weights().version() <= known) {
+        long known = wantedVersion();
+        boolean held = report.filter(state -> holds(state, digests.weights())).isPresent();
+        if (digests.weights().version() == known || (held && digests.weights().version() < known)) {
             return;
         }
         wanted = Optional.of(digests);
@@ -189,12 +197,14 @@
     }
 
     private boolean isSatisfied(EngineReport state) {
-        return wanted.isEmpty()
-                || state.weights()
-                        .filter(held ->
-                                held.model().equals(wanted.get().weights().model()))
-                        .filter(held -> held.version() >= wanted.get().weights().version())
-                        .isPresent();
+        return wanted.isEmpty() || holds(state, wanted.get().weights());
+    }
+
+    private static boolean holds(EngineReport state, HeldWeights weights) {
+        return state.weights()
+                .filter(held -> held.model().equals(weights.model()))
+                .filter(held -> held.version() >= weights.version())
+                .isPresent();
     }
 
     private void act() {
--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
@@ -27,6 +27,7 @@
     private static final int READS_AT_ONCE = 4;
     private static final int VERSIONS_KEPT = 2;
     private static final int MOST_WAITING = 512;
+    private static final Duration STALLED_AFTER = Duration.ofMillis(600);
     private static final Duration FIRST_RETRY = Duration.ofMillis(40);
     private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
 
@@ -62,6 +63,7 @@
         private boolean manifestAsked;
         private int reading;
         private int failures;
+        private long progressNanos;
 
         Shelf(HeldWeights weights, long sinceNanos) {
             this.weights = weights;
@@ -125,19 +127,42 @@
     }
 
     /**
-     * Returns the newest version of a model whose manifest is known.
+     * Returns the version of a model that engines should be brought to now: the newest one that is whole here or comes
+     * along, or else an older one that is whole, so that a source which fails does not hold up what is there.
      *
      * @param model the model
      * @return its digests and age, or empty
      */
     public Optional<Offer> offer(String model) {
-        TreeMap<Long, Shelf> versions = shelves.get(model);
-        if (versions == null || versions.isEmpty()) {
-            return Optional.empty();
+        TreeMap<Long, Shelf> versions = shelves.getOrDefault(model, new TreeMap<>());
+        for (Shelf shelf : versions.descendingMap().values()) {
+            if (shelf.copy.isPresent() && (shelf.copy.get().isWhole() || comesAlong(shelf))) {
+                return Optional.of(offerOf(shelf));
+            }
         }
-        Shelf newest = versions.lastEntry().getValue();
-        Duration age = Duration.ofNanos(timers.nanoTime() - newest.sinceNanos);
-        return newest.copy.map(copy -> new Offer(copy.digests(), age));
+        return versions.values().stream()
+                .filter(shelf -> shelf.copy.isPresent())
+                .reduce((older, newer) -> newer)
+                .map(this::offerOf);
+    }
+
+    /**
+     * Finds a version whose manifest is known.
+     *
+     * @param weights the model and its version
+     * @return its digests and age, or empty
+     */
+    public Optional<Offer> find(HeldWeights weights) {
+        return shelf(weights).filter(shelf -> shelf.copy.isPresent()).map(this::offerOf);
+    }
+
+    private boolean comesAlong(Shelf shelf) {
+        return timers.nanoTime() - shelf.progressNanos < STALLED_AFTER.toNanos();
+    }
+
+    private Offer offerOf(Shelf shelf) {
+        Duration age = Duration.ofNanos(timers.nanoTime() - shelf.sinceNanos);
+        return new Offer(shelf.copy.orElseThrow().digests(), age);
     }
 
     /**
@@ -157,8 +182,8 @@
      * @param reply takes the chunk, or nothing when it did not come in time
      */
     public void give(HeldWeights weights, int number, Duration wait, Consumer<Optional<byte[]>> reply) {
-        Optional<byte[]> held = find(weights).flatMap(shelf -> shelf.copy).flatMap(copy -> copy.chunk(number));
-        if (held.isPresent() || waiting.size() >= MOST_WAITING || find(weights).isEmpty()) {
+        Optional<byte[]> held = shelf(weights).flatMap(shelf -> shelf.copy).flatMap(copy -> copy.chunk(number));
+        if (held.isPresent() || waiting.size() >= MOST_WAITING || shelf(weights).isEmpty()) {
             reply.accept(held);
             return;
         }
@@ -171,12 +196,12 @@
         waiting.add(holder[0]);
     }
 
-    private Optional<Shelf> find(HeldWeights weights) {
+    private Optional<Shelf> shelf(HeldWeights weights) {
         return Optional.ofNullable(shelves.get(weights.model())).map(versions -> versions.get(weights.version()));
     }
 
     private boolean isWanted(Shelf shelf) {
-        return find(shelf.weights).filter(found -> found == shelf).isPresent();
+        return shelf(shelf.weights).filter(found -> found == shelf).isPresent();
     }
 
     private void readManifest(Shelf shelf) {
@@ -198,6 +223,8 @@
             }
             shelf.failures = 0;
             shelf.copy = Optional.of(VersionCopy.of(digests));
+            shelf.progressNanos = timers.nanoTime();
+            timers.schedule(STALLED_AFTER, () -> watchProgress(shelf));
             log.event(Category.BELIEF, "manifest_known")
                     .with("model", shelf.weights.model())
                     .with("version", shelf.weights.version())
@@ -230,10 +257,12 @@
             shelf.reading--;
             if (error == null && copy.put(number, content)) {
                 shelf.failures = 0;
+                shelf.progressNanos = timers.nanoTime();
                 (source.isOrigin() ? fromOrigin : fromNodes).inc();
                 arrived(shelf, number, content);
                 if (copy.isWhole()) {
                     tellWhole(shelf);
+                    changed.run();
                 }
                 readChunks(shelf);
                 return;
@@ -249,6 +278,17 @@
         });
     }
 
+    /** Those who wait for an offer are told when a version that came along no longer does, and when it does again. */
+    private void watchProgress(Shelf shelf) {
+        if (!isWanted(shelf) || shelf.copy.orElseThrow().isWhole()) {
+            return;
+        }
+        if (!comesAlong(shelf)) {
+            changed.run();
+        }
+        timers.schedule(STALLED_AFTER, () -> watchProgress(shelf));
+    }
+
     private void arrived(Shelf shelf, int number, byte[] content) {
         for (Waiting one : List.copyOf(waiting)) {
             if (one.number() == number && one.weights().equals(shelf.weights)) {
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -76,6 +77,20 @@
         assertThat(facts.namedOf("m").orElseThrow().weights().version()).isEqualTo(3);
     }
 
+    /** A node that starts after a version was named cannot know when: most engines hold it, so it was long before. */
+    @ParameterizedTest
+    @CsvSource({"up a 2|up b 2|up c 1, true", "up a 1|up b 1|up c 2, false"})
+    void aVersionThatMostEnginesHoldAtTheStartIsOld(String upstreams, boolean old) {
+        List<FactItem> first = new ArrayList<>();
+        long revision = 1;
+        for (String key : upstreams.split("\\|", -1)) {
+            first.add(item(key, revision++));
+        }
+        first.add(item("named 2", revision));
+        facts.apply(first);
+        assertThat(facts.namedBefore("m", Duration.ofSeconds(7)).isPresent()).isEqualTo(old);
+    }
+
     private static FactItem item(String key, long revision) {
         return FactItem.written(key, new byte[0], revision);
     }
@@ -92,7 +107,9 @@
         if (item.removed()) {
             return new Fact.Absent(words[1], "removed");
         }
+        Optional<HeldWeights> weights =
+                words.length < 3 ? Optional.empty() : Optional.of(new HeldWeights("m", Long.parseLong(words[2])));
         return new Fact.Present(new Upstream(
-                words[1], "s", new WireAddress("10.0.0.1", 80), "z", 1, false, Optional.empty(), 0, item.revision()));
+                words[1], "s", new WireAddress("10.0.0.1", 80), "z", 1, false, weights, 0, item.revision()));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
@@ -88,6 +88,32 @@
         assertThat(engine.loaded).containsExactly(2L);
     }
 
+    /** The newest version cannot be had: the one before is loaded, and the newest when it can be had again. */
+    @Test
+    void loadsAnOlderVersionWhileTheNewestCannotBeHad() {
+        LoadPlan plan = new LoadPlan(
+                List.of(new NamedVersion(2, Duration.ofSeconds(6)), new NamedVersion(3, Duration.ofSeconds(4))), 0);
+        engine.held = 1;
+        keeper.want(digests(3), Duration.ofSeconds(4), plan);
+        source.answers = false;
+        report(Duration.ofMillis(200));
+        source.answers = true;
+        keeper.want(digests(2), Duration.ofSeconds(6), plan);
+        report(Duration.ofSeconds(1));
+        keeper.want(digests(3), Duration.ofSeconds(7), plan);
+        report(Duration.ofSeconds(1));
+        assertThat(engine.loaded).containsExactly(2L, 3L);
+    }
+
+    /** An entry that has not heard of the newest version yet does not bring an engine back. */
+    @Test
+    void leavesOutWordThatIsOlder() {
+        keeper.want(digests(2), Duration.ZERO, new LoadPlan(List.of(new NamedVersion(2, Duration.ZERO)), 0));
+        keeper.want(digests(1), Duration.ZERO, LoadPlan.UNKNOWN);
+        report(Duration.ofSeconds(1));
+        assertThat(engine.loaded).containsExactly(2L);
+    }
+
     private void report(Duration over) {
         for (long passed = 0; passed < over.toMillis(); passed += 100) {
             keeper.reported(engine.state());
