--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -44,7 +44,8 @@
     private static final Duration DISCOVER_ALONE_EVERY = Duration.ofMillis(250);
     private static final Duration DISCOVER_EVERY = Duration.ofSeconds(4);
     private static final Duration DISCOVERY_WITHIN = Duration.ofMillis(500);
-    private static final Duration SETTLED_AFTER = Duration.ofMillis(1_200);
+    private static final Duration SETTLED_AFTER = Duration.ofMillis(400);
+    private static final Duration SETTLED_ALONE_AFTER = Duration.ofMillis(1_200);
     private static final long MAXIMUM_MEMBERS_BYTES = 1 << 20;
 
     private final NodeCard self;
@@ -115,7 +116,9 @@
 
     /** Whether this node has been among the others for long enough to know most of them. */
     boolean isSettled() {
-        return joined && timers.nanoTime() - joinedNanos > SETTLED_AFTER.toNanos();
+        long since = timers.nanoTime() - joinedNanos;
+        Duration enough = roster.up().size() < 2 ? SETTLED_ALONE_AFTER : SETTLED_AFTER;
+        return joined && since > enough.toNanos();
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/node/WeightsRoutes.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsRoutes.java
@@ -46,8 +46,14 @@
         this.random = new Random(seed);
     }
 
+    /** A manifest is small, and engines wait for it after a restart: it is read from the origin while nobody is known. */
     @Override
-    public Optional<WeightsSource> source(String model, int failures) {
+    public Optional<WeightsSource> manifestSource(String model, int failures) {
+        return settled.getAsBoolean() ? chunkSource(model, failures) : origin();
+    }
+
+    @Override
+    public Optional<WeightsSource> chunkSource(String model, int failures) {
         if (!settled.getAsBoolean()) {
             return Optional.empty();
         }
--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
@@ -28,6 +28,7 @@
     private static final int VERSIONS_KEPT = 2;
     private static final int MOST_WAITING = 512;
     private static final Duration STALLED_AFTER = Duration.ofMillis(600);
+    private static final Duration NO_SOURCE_RETRY = Duration.ofMillis(100);
     private static final Duration FIRST_RETRY = Duration.ofMillis(40);
     private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
 
@@ -42,16 +43,24 @@
     private Runnable changed = () -> {};
 
     /** Names where a version comes from. */
-    @FunctionalInterface
     public interface Sources {
         /**
-         * Names a source.
+         * Names a source for a manifest.
          *
          * @param model the model
          * @param failures how many reads in a row have failed
          * @return the source, or empty when there is none now
          */
-        Optional<WeightsSource> source(String model, int failures);
+        Optional<WeightsSource> manifestSource(String model, int failures);
+
+        /**
+         * Names a source for chunks.
+         *
+         * @param model the model
+         * @param failures how many reads in a row have failed
+         * @return the source, or empty when there is none now
+         */
+        Optional<WeightsSource> chunkSource(String model, int failures);
     }
 
     private record Waiting(HeldWeights weights, int number, Consumer<Optional<byte[]>> reply, Timers.Timer timer) {}
@@ -208,9 +217,9 @@
         if (shelf.manifestAsked || !isWanted(shelf)) {
             return;
         }
-        Optional<WeightsSource> source = sources.source(shelf.weights.model(), shelf.failures);
+        Optional<WeightsSource> source = sources.manifestSource(shelf.weights.model(), shelf.failures);
         if (source.isEmpty()) {
-            timers.schedule(LONGEST_RETRY, () -> readManifest(shelf));
+            timers.schedule(NO_SOURCE_RETRY, () -> readManifest(shelf));
             return;
         }
         shelf.manifestAsked = true;
@@ -239,7 +248,7 @@
     private void readChunks(Shelf shelf) {
         VersionCopy copy = shelf.copy.orElseThrow();
         while (isWanted(shelf) && shelf.reading < READS_AT_ONCE) {
-            Optional<WeightsSource> source = sources.source(shelf.weights.model(), shelf.failures);
+            Optional<WeightsSource> source = sources.chunkSource(shelf.weights.model(), shelf.failures);
             OptionalInt next = source.isEmpty() ? OptionalInt.empty() : copy.askNext();
             if (next.isEmpty()) {
                 break;
@@ -248,7 +257,7 @@
             readChunk(shelf, copy, source.get(), next.getAsInt());
         }
         if (shelf.reading == 0 && !copy.isWhole() && isWanted(shelf)) {
-            timers.schedule(LONGEST_RETRY, () -> readChunks(shelf));
+            timers.schedule(NO_SOURCE_RETRY, () -> readChunks(shelf));
         }
     }
 
