Read the store on one entry for all, pass facts on by region, compressed; go on when a version is named during a load

One entry watches now, one of each failure domain reads from it, compressed; answers are given as soon as the facts are fresher, so ages stay near the store's own poll. The order's own version is awaited now, and an order without effect is given again.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactFollower.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactFollower.java
@@ -17,16 +17,19 @@
  * <p>Belongs to one thread. Each source has at most one read under way, so a silent one cannot hold up the other.
  */
 public final class FactFollower {
-    /** How old the facts may be before this node stops relying on its source. */
-    public static final Duration STALE_AFTER = Duration.ofMillis(1_350);
+    /** How old the facts may be before a node that others read from stops relying on its source. */
+    public static final Duration STALE_AFTER = Duration.ofMillis(1_100);
 
-    private static final Duration STORE_WAIT = Duration.ofSeconds(1);
-    private static final Duration PEER_WAIT = Duration.ofMillis(600);
+    /** How much longer the other nodes wait, so that one read of the store can serve them all. */
+    public static final Duration PATIENCE = Duration.ofMillis(250);
+
+    private static final Duration STORE_WAIT = Duration.ofMillis(800);
+    private static final Duration PEER_WAIT = Duration.ofSeconds(1);
     private static final Duration STORE_BATCH = Duration.ofMillis(100);
-    private static final Duration CHECK_EVERY = Duration.ofMillis(250);
+    private static final Duration CHECK_EVERY = Duration.ofMillis(100);
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(80);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
-    private static final int JITTER_MILLIS = 250;
+    private static final int JITTER_MILLIS = 120;
 
     private final FactStore store;
     private final Peers peers;
@@ -38,6 +41,7 @@
     private final Source storeSource = new Source(STORE_WAIT);
     private final Source peerSource = new Source(PEER_WAIT);
     private Runnable storeReturned = () -> {};
+    private Runnable refreshed = () -> {};
     private boolean loaded;
     private boolean stale = true;
     private long freshAtNanos;
@@ -52,6 +56,13 @@
          */
         boolean isWatcher();
 
+        /**
+         * Tells whether other nodes read from this one.
+         *
+         * @return whether it passes facts on as a duty
+         */
+        boolean isSource();
+
         /**
          * Returns the node to read from.
          *
@@ -118,6 +129,15 @@
         storeReturned = Objects.requireNonNull(action, "action");
     }
 
+    /**
+     * Sets what runs whenever the facts are known to be fresh again, changed or not.
+     *
+     * @param action the action
+     */
+    public void onRefresh(Runnable action) {
+        refreshed = Objects.requireNonNull(action, "action");
+    }
+
     /** Begins to read. */
     public void begin() {
         check();
@@ -149,7 +169,7 @@
     }
 
     private void readWanted() {
-        boolean doubtful = !loaded || age().toNanos() > STALE_AFTER.toNanos() - CHECK_EVERY.toNanos() + jitterNanos;
+        boolean doubtful = !loaded || age().compareTo(staleAfter()) > 0;
         boolean watcher = peers.isWatcher();
         if (watcher || doubtful) {
             start(storeSource, Optional.of(store));
@@ -209,6 +229,7 @@
         // Entries that lapsed meanwhile come with this very reading: the grace must stand first.
         noteStaleness();
         fresh.accept(news);
+        refreshed.run();
     }
 
     private void failed(Source source, FactStore from, Throwable error) {
@@ -237,8 +258,13 @@
                 .write();
     }
 
+    private Duration staleAfter() {
+        Duration base = peers.isSource() ? STALE_AFTER : STALE_AFTER.plus(PATIENCE);
+        return base.plusNanos(jitterNanos);
+    }
+
     private void noteStaleness() {
-        boolean now = !loaded || age().compareTo(STALE_AFTER) > 0;
+        boolean now = !loaded || age().compareTo(staleAfter()) > 0;
         if (now == stale) {
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -102,6 +102,7 @@
         this.weights = new WeightsDesk(facts, library, timers, this::cardsUp);
         facts.onChange(this::factsChanged);
         follower.onReturn(facts::storeReturned);
+        follower.onRefresh(relay::refreshed);
     }
 
     /**
@@ -259,9 +260,6 @@
 
     private void itemsChanged(List<FactItem> items) {
         facts.apply(items);
-        if (!items.isEmpty()) {
-            relay.changed();
-        }
     }
 
     private Optional<WireAddress> originAddress() {
@@ -289,9 +287,11 @@
         QueryStringDecoder query = new QueryStringDecoder(uri);
         if (query.path().equals("/facts")) {
             relay.ask(
-                    NodeQuery.number(query, "after"),
-                    NodeQuery.number(query, "wait"),
-                    NodeQuery.flag(query, "slim"),
+                    new FactRelay.Ask(
+                            NodeQuery.number(query, "after"),
+                            Duration.ofMillis(NodeQuery.number(query, "wait")),
+                            NodeQuery.flag(query, "slim"),
+                            NodeQuery.flag(query, "packed")),
                     reply);
             return;
         }
@@ -308,16 +308,24 @@
     private final class EntryPeers implements FactFollower.Peers {
         @Override
         public boolean isWatcher() {
-            return ready
-                    && roster.watcherOf(settings.zone())
-                            .filter(card -> card.equals(self))
-                            .isPresent();
+            return ready && roster.watcher().filter(card -> card.equals(self)).isPresent();
+        }
+
+        @Override
+        public boolean isSource() {
+            return ready && roster.isSource(self.name());
         }
 
         @Override
         public Optional<FactStore> source(int failures) {
             return PeerChoice.choose(settings, roster, failures)
-                    .map(address -> new PeerFacts(threads, address.toString(), address, false, membership::introduced));
+                    .map(peer -> new PeerFacts(
+                            threads,
+                            peer.address().toString(),
+                            peer.address(),
+                            false,
+                            peer.far(),
+                            membership::introduced));
         }
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.galenahinge.routing.Rendezvous;
 
 /**
@@ -17,6 +18,7 @@
  */
 final class EntryRoster {
     private static final String WATCH_DUTY = "watch";
+    private static final String RELAY_DUTY = "relay";
 
     private final String zone;
     private final Random random;
@@ -42,16 +44,31 @@
         return up.stream().filter(card -> card.zone().equals(failureDomain)).toList();
     }
 
-    /** The entry that reads the store for a failure domain. */
-    Optional<NodeCard> watcherOf(String failureDomain) {
-        return first(inZone(failureDomain), WATCH_DUTY);
+    /** The entry that reads the store for all. */
+    Optional<NodeCard> watcher() {
+        return first(up, WATCH_DUTY);
     }
 
-    /** The entry to read facts from: that of the own failure domain first, then any. */
+    /** The entry that the others of a failure domain read facts from. */
+    Optional<NodeCard> relayOf(String failureDomain) {
+        return first(inZone(failureDomain), RELAY_DUTY);
+    }
+
+    /** Whether others read facts from an entry. */
+    boolean isSource(String name) {
+        return Stream.of(watcher(), relayOf(zone))
+                .flatMap(Optional::stream)
+                .anyMatch(card -> card.name().equals(name));
+    }
+
+    /** The entry to read facts from: the relay of the own failure domain, or the watcher for the relay; then any. */
     Optional<NodeCard> factSource(String self, int failures) {
-        Optional<NodeCard> watcher = watcherOf(zone).filter(card -> !card.name().equals(self));
-        if (failures == 0 && watcher.isPresent()) {
-            return watcher;
+        Optional<NodeCard> relay = relayOf(zone);
+        boolean ownDuty = relay.isEmpty() || relay.get().name().equals(self);
+        Optional<NodeCard> source =
+                (ownDuty ? watcher() : relay).filter(card -> !card.name().equals(self));
+        if (failures == 0 && source.isPresent()) {
+            return source;
         }
         List<NodeCard> others = new ArrayList<>(up);
         others.removeIf(card -> card.name().equals(self));
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -20,6 +20,7 @@
 final class FactRelay {
     private static final int MAXIMUM_WAITING = 1_000;
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+    private static final Duration PROGRESS = Duration.ofMillis(200);
 
     private final FactLog facts;
     private final FactFollower follower;
@@ -28,7 +29,8 @@
     private final Predicate<FactItem> large;
     private final List<Waiting> waiting = new ArrayList<>();
 
-    private record Waiting(long after, boolean slim, Consumer<HttpDocument> reply, Timers.Timer timer) {}
+    private record Waiting(
+            Ask ask, Duration ageAsked, long sinceNanos, Consumer<HttpDocument> reply, Timers.Timer timer) {}
 
     FactRelay(
             FactLog facts,
@@ -44,54 +46,71 @@
     }
 
     /**
-     * Answers a node.
+     * What a node asks.
      *
      * @param after the revision that it holds
-     * @param waitMillis how long it waits for a change
+     * @param patience how long it waits for a change
      * @param slim whether it does without the large items
+     * @param packed whether the answer is to be compressed, because it crosses a thin link
+     */
+    record Ask(long after, Duration patience, boolean slim, boolean packed) {}
+
+    /**
+     * Answers a node: when there is a change, or when these facts are known to be fresher than when it asked.
+     *
+     * @param ask what it asks
      * @param reply takes the answer
      */
-    void ask(long after, long waitMillis, boolean slim, Consumer<HttpDocument> reply) {
+    void ask(Ask ask, Consumer<HttpDocument> reply) {
         if (!follower.isLoaded()) {
             reply.accept(HttpDocument.text(503, "text/plain", "no facts are known yet\n"));
             return;
         }
-        boolean news = after == 0 || facts.changesAfter(after).items().stream().anyMatch(item -> isFor(item, slim));
-        if (news || waiting.size() >= MAXIMUM_WAITING || waitMillis <= 0) {
-            answer(after, slim, reply);
+        if (hasNews(ask) || waiting.size() >= MAXIMUM_WAITING || ask.patience().isZero()) {
+            answer(ask, reply);
             return;
         }
-        Duration wait = Duration.ofMillis(Math.min(waitMillis, LONGEST_WAIT.toMillis()));
+        Duration wait = ask.patience().compareTo(LONGEST_WAIT) < 0 ? ask.patience() : LONGEST_WAIT;
         Waiting[] holder = new Waiting[1];
         Timers.Timer timer = timers.schedule(wait, () -> {
             waiting.remove(holder[0]);
-            answer(after, slim, reply);
+            answer(ask, reply);
         });
-        holder[0] = new Waiting(after, slim, reply, timer);
+        holder[0] = new Waiting(ask, follower.age(), timers.nanoTime(), reply, timer);
         waiting.add(holder[0]);
     }
 
-    /** Answers those who wait, because there is news. */
-    void changed() {
+    /** Answers those who wait, because there is news or these facts are fresher. */
+    void refreshed() {
         for (Waiting one : List.copyOf(waiting)) {
-            boolean news = facts.changesAfter(one.after()).items().stream().anyMatch(item -> isFor(item, one.slim()));
-            if (news) {
+            if (hasNews(one.ask()) || isFresher(one)) {
                 waiting.remove(one);
                 one.timer().cancel();
-                answer(one.after(), one.slim(), one.reply());
+                answer(one.ask(), one.reply());
             }
         }
     }
 
-    private void answer(long after, boolean slim, Consumer<HttpDocument> reply) {
-        FactLog.Changes changes = facts.changesAfter(after);
+    private boolean hasNews(Ask ask) {
+        return ask.after() == 0
+                || facts.changesAfter(ask.after()).items().stream().anyMatch(item -> isFor(item, ask.slim()));
+    }
+
+    private boolean isFresher(Waiting one) {
+        Duration sinceAsked = Duration.ofNanos(timers.nanoTime() - one.sinceNanos());
+        Duration gained = one.ageAsked().plus(sinceAsked).minus(follower.age());
+        return gained.compareTo(PROGRESS) > 0;
+    }
+
+    private void answer(Ask ask, Consumer<HttpDocument> reply) {
+        FactLog.Changes changes = facts.changesAfter(ask.after());
         FactReading.Builder reading = FactReading.newBuilder()
                 .setRevision(changes.revision())
                 .setWhole(changes.whole())
                 .setAgeMillis(follower.age().toMillis())
                 .addAllNodes(nodes.get());
         for (FactItem item : changes.items()) {
-            if (isFor(item, slim)) {
+            if (isFor(item, ask.slim())) {
                 reading.addItems(FactEntry.newBuilder()
                         .setKey(item.key())
                         .setValue(ByteString.copyFrom(item.value()))
@@ -99,7 +118,8 @@
                         .setRemoved(item.removed()));
             }
         }
-        reply.accept(HttpDocument.bytes(200, reading.build().toByteArray()));
+        byte[] bytes = reading.build().toByteArray();
+        reply.accept(HttpDocument.bytes(200, ask.packed() ? Packing.pack(bytes) : bytes));
     }
 
     private boolean isFor(FactItem item, boolean slim) {
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerChoice.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerChoice.java
@@ -9,10 +9,13 @@
 final class PeerChoice {
     private PeerChoice() {}
 
-    static Optional<WireAddress> choose(NodeSettings settings, EntryRoster roster, int failures) {
+    /** An entry to ask, and whether it may lie behind a thin link. */
+    record Peer(WireAddress address, boolean far) {}
+
+    static Optional<Peer> choose(NodeSettings settings, EntryRoster roster, int failures) {
         Optional<NodeCard> known = roster.factSource(settings.name(), failures);
         if (known.isPresent()) {
-            return known.map(NodeCard::nodes);
+            return known.map(card -> new Peer(card.nodes(), !card.zone().equals(settings.zone())));
         }
         List<WireAddress> seeds = settings.seeds().stream()
                 .filter(seed -> !seed.host().equals(settings.address()))
@@ -20,6 +23,6 @@
         if (seeds.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())));
+        return Optional.of(new Peer(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())), true));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFacts.java
@@ -1,6 +1,6 @@
 package org.galenahinge.node;
 
-import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
@@ -29,20 +29,27 @@
     private final String name;
     private final WireAddress address;
     private final boolean slim;
+    private final boolean packed;
     private final Consumer<List<String>> nodesHeard;
 
     PeerFacts(
-            NetworkThreads threads, String name, WireAddress address, boolean slim, Consumer<List<String>> nodesHeard) {
+            NetworkThreads threads,
+            String name,
+            WireAddress address,
+            boolean slim,
+            boolean packed,
+            Consumer<List<String>> nodesHeard) {
         this.threads = Objects.requireNonNull(threads, "threads");
         this.name = Objects.requireNonNull(name, "name");
         this.address = Objects.requireNonNull(address, "address");
         this.slim = slim;
+        this.packed = packed;
         this.nodesHeard = Objects.requireNonNull(nodesHeard, "nodesHeard");
     }
 
     @Override
     public CompletionStage<Reading> read(long after, Duration wait) {
-        String path = "/facts?after=" + after + "&wait=" + wait.toMillis() + "&slim=" + slim;
+        String path = "/facts?after=" + after + "&wait=" + wait.toMillis() + "&slim=" + slim + "&packed=" + packed;
         URI uri = URI.create("http://" + address);
         return WholeAnswer.ask(threads, uri, Exchange.Request.get(path), wait.plus(MARGIN), MAXIMUM_BYTES)
                 .handle((answer, error) -> {
@@ -63,13 +70,13 @@
 
     private Reading parse(byte[] bytes) {
         try {
-            FactReading reading = FactReading.parseFrom(bytes);
+            FactReading reading = FactReading.parseFrom(packed ? Packing.unpack(bytes) : bytes);
             nodesHeard.accept(reading.getNodesList());
             List<FactItem> items =
                     reading.getItemsList().stream().map(PeerFacts::item).toList();
             return new Reading(
                     items, reading.getWhole(), reading.getRevision(), Duration.ofMillis(reading.getAgeMillis()));
-        } catch (InvalidProtocolBufferException e) {
+        } catch (IOException e) {
             throw new CompletionException(new FactReadException(Cause.MALFORMED, String.valueOf(e.getMessage())));
         }
     }
--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -26,6 +26,7 @@
     private static final Duration VERIFIED_FOR = Duration.ofMillis(1_200);
     private static final Duration RETRY = Duration.ofMillis(80);
     private static final Duration RESERVE = Duration.ofMillis(1_200);
+    private static final Duration ORDER_EFFECT_WITHIN = Duration.ofSeconds(2);
     private static final Duration QUIESCE = Duration.ofMillis(60);
 
     private final EngineControl engine;
@@ -45,6 +46,8 @@
     private Optional<EngineReport> report = Optional.empty();
     private Optional<Pass> pass = Optional.empty();
     private boolean loading;
+    private Optional<HeldWeights> ordered = Optional.empty();
+    private long orderedNanos;
     private int failures;
 
     /** One way through all chunks: each is read back, and fetched where it does not agree. */
@@ -175,18 +178,29 @@
                     .write();
             pass = Optional.empty();
             loading = false;
+            ordered = Optional.empty();
         }
         report = Optional.of(newReport);
-        if (loading && isSatisfied(newReport)) {
+        if (loading && ordered.filter(weights -> holds(newReport, weights)).isPresent()) {
             loading = false;
             log.event(Category.BELIEF, "weights_in_use")
-                    .with("version", wantedVersion())
+                    .with("version", ordered.get().version())
                     .with("after_ms", millisSince(wantedSinceNanos))
                     .write();
+        } else if (loading && ordered.isPresent() && hasComeToNothing(newReport)) {
+            loading = false;
+            log.event(Category.FAILURE, "order_without_effect")
+                    .with("version", ordered.get().version())
+                    .write();
         }
         act();
     }
 
+    /** An engine that is neither busy nor at the version some time after the order has dropped it. */
+    private boolean hasComeToNothing(EngineReport state) {
+        return !state.busy() && timers.nanoTime() - orderedNanos > ORDER_EFFECT_WITHIN.toNanos();
+    }
+
     /**
      * Tells whether the engine is about to load, or loads.
      *
@@ -349,6 +363,7 @@
             return;
         }
         loading = true;
+        ordered = Optional.empty();
         loadingBegins.run();
         timers.schedule(QUIESCE, () -> orderNow(one));
     }
@@ -361,6 +376,8 @@
         }
         HeldWeights weights = one.digests.weights();
         long expected = report.get().orders();
+        ordered = Optional.of(weights);
+        orderedNanos = timers.nanoTime();
         engine.load(weights, expected).whenComplete((result, error) -> {
             pass = Optional.empty();
             boolean taken = error == null && (result == OrderResult.BEGUN || result == OrderResult.IN_EFFECT);
