Let requests wait while engines are being brought to their weights, and say after an outage when to come back

Requests now wait for up to 0.3 of their time while engines are there and load; those that can still be on time go first; who must be refused is told to come back as late as it will. A request that meets a process without a configuration waits for it, 0.7 s at most.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
@@ -38,8 +38,13 @@
     private static final double WAIT_SHARE_OF_TARGET = 0.6;
     private static final Duration LEAST_TIME_FOR_REPEAT = Duration.ofMillis(60);
     private static final Duration LONGEST_CONNECT_TRIES = Duration.ofSeconds(2);
-    private static final Duration NOTHING_ABLE_RETRY = Duration.ofMillis(400);
-    private static final Duration FULL_RETRY = Duration.ofMillis(300);
+    private static final Duration FULL_RETRY = Duration.ofMillis(400);
+
+    /** Callers come back after at most this share of their time, so longer waits would not be kept. */
+    private static final double LONGEST_RETRY_SHARE = 1.0 / 3;
+
+    private static final double COMING_WAIT_SHARE = 0.3;
+    private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(700);
 
     private final Gateway gateway;
     private final Call call;
@@ -65,6 +70,13 @@
     }
 
     void begin() {
+        if (ended) {
+            return;
+        }
+        if (gateway.catalog().isEmpty() && awaitConfiguration()) {
+            return;
+        }
+        limitTimer.ifPresent(Timer::cancel);
         gateway.metrics().request();
         CallFilters.Result result = CallFilters.check(call, gateway.catalog(), gateway.draw());
         if (result instanceof CallFilters.Result.Stopped stopped) {
@@ -79,6 +91,17 @@
         place();
     }
 
+    private boolean awaitConfiguration() {
+        boolean kept = limitTimer.isEmpty() && gateway.awaitConfiguration(this);
+        if (kept) {
+            limitTimer = Optional.of(gateway.timers().schedule(CONFIGURATION_WAIT, () -> {
+                gateway.stopAwaiting(this);
+                begin();
+            }));
+        }
+        return kept;
+    }
+
     /** Stops all work for the request, because its caller has left. */
     void callerLeft() {
         if (ended) {
@@ -255,21 +278,21 @@
         if (choice instanceof Choice.Chosen chosen) {
             send(chosen);
         } else if (choice instanceof Choice.Full) {
-            await();
+            await((long) (admitted.route().targetLatency().toNanos() * WAIT_SHARE_OF_TARGET));
+        } else if (choice instanceof Choice.Coming) {
+            await((long) (limit().toNanos() * COMING_WAIT_SHARE));
         } else {
             String detail = ((Choice.Nowhere) choice).detail();
-            refuse(
-                    mayHaveRun
-                            ? unknown(detail)
-                            : Refusal.notRun("no_upstream", detail, retryAfter(NOTHING_ABLE_RETRY)));
+            refuse(mayHaveRun ? unknown(detail) : Refusal.notRun("no_upstream", detail, retryAfterOutage()));
         }
     }
 
-    private void await() {
+    private void await(long waitNanos) {
         long now = gateway.timers().nanoTime();
-        long wait = (long) (admitted.route().targetLatency().toNanos() * WAIT_SHARE_OF_TARGET);
-        long until = Math.min(limitNanos, Math.max(now, call.arrivedNanos() + wait));
-        if (until - now <= 0 || !desk.waiting().offer(this, admitted.priority(), call.arrivedNanos(), until)) {
+        long since = call.arrivedNanos();
+        long onTime = since + admitted.route().targetLatency().toNanos();
+        long until = Math.min(limitNanos, Math.max(now, since + waitNanos));
+        if (until - now <= 0 || !desk.waiting().offer(this, admitted.priority(), since, onTime, until)) {
             refuse(mayHaveRun ? unknown("no place for another try") : full());
             return;
         }
@@ -282,7 +305,7 @@
         String id = candidate.upstream().id();
         Optional<UpstreamPool> pool = gateway.pool(id);
         if (pool.isEmpty()) {
-            refuse(Refusal.notRun("no_upstream", "the upstream has just left", retryAfter(NOTHING_ABLE_RETRY)));
+            refuse(Refusal.notRun("no_upstream", "the upstream has just left", retryAfter(FULL_RETRY)));
             return;
         }
         tried.add(id);
@@ -337,6 +360,9 @@
     }
 
     private Refusal full() {
+        if (choose() instanceof Choice.Coming) {
+            return Refusal.notRun("coming", "engines are being loaded", retryAfterOutage());
+        }
         return Refusal.notRun("full", "no place is free", retryAfter(FULL_RETRY));
     }
 
@@ -349,6 +375,12 @@
         return Duration.ofMillis((long) (base.toMillis() * (1 + 2 * gateway.draw())));
     }
 
+    /** An outage lasts for seconds: who has one more try is best served late in the time that is left. */
+    private Duration retryAfterOutage() {
+        double share = LONGEST_RETRY_SHARE * (0.75 + 0.25 * gateway.draw());
+        return Duration.ofMillis((long) (timeLeft().toMillis() * share));
+    }
+
     private void refuse(Refusal refusal) {
         boolean sayNotRun = refusal.status() == 503;
         if (sayNotRun && mayHaveRun) {
@@ -379,6 +411,7 @@
     private void finish(String outcome) {
         ended = true;
         limitTimer.ifPresent(Timer::cancel);
+        gateway.stopAwaiting(this);
         gateway.metrics().ended(outcome);
         if (waiting) {
             waiting = false;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -45,6 +46,7 @@
     private final Random random;
     private final UpstreamTable upstreams;
     private final Map<String, ServiceDesk> desks = new HashMap<>();
+    private final Set<ForwardedCall> unconfigured = new LinkedHashSet<>();
     private boolean sweeping;
     private boolean stopping;
 
@@ -110,9 +112,23 @@
     /** Takes in that the facts have changed. */
     public void factsChanged() {
         upstreams.refresh(facts.upstreams());
+        if (facts.catalog().isPresent()) {
+            List<ForwardedCall> begun = List.copyOf(unconfigured);
+            unconfigured.clear();
+            begun.forEach(ForwardedCall::begin);
+        }
         serveWaiting();
     }
 
+    /** Keeps a request until the first configuration is known, which takes a moment after a start. */
+    boolean awaitConfiguration(ForwardedCall call) {
+        return unconfigured.size() < WAITING_CAPACITY && unconfigured.add(call);
+    }
+
+    void stopAwaiting(ForwardedCall call) {
+        unconfigured.remove(call);
+    }
+
     /**
      * Takes in what a slot process says of its upstream.
      *
@@ -218,7 +234,8 @@
 
     /** Offers free places to the waiting requests. */
     void serveWaiting() {
-        desks.values().forEach(desk -> desk.waiting().serve(ForwardedCall::tryWaiting));
+        long now = timers.nanoTime();
+        desks.values().forEach(desk -> desk.waiting().serve(now, ForwardedCall::tryWaiting));
     }
 
     private void sweep() {
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -7,10 +7,12 @@
 import java.util.function.Predicate;
 
 /**
- * Requests of one service that wait for a place, most urgent first. Bounded; belongs to one thread.
+ * Requests of one service that wait for a place, most urgent first; those that can still be on time go before those that
+ * cannot. Bounded; belongs to one thread.
  *
- * <p>Answers the load of short bursts: a place comes free every few milliseconds across a service, so a short wait saves
- * the caller a refusal and a second try.
+ * <p>Answers two loads: short bursts, since a place comes free every few milliseconds across a service, so that a short
+ * wait saves the caller a refusal and a second try; and the moment after an outage, when many are late already and must
+ * not make those late that have just come.
  *
  * @param <T> what waits
  */
@@ -36,11 +38,12 @@
      * @param item what waits
      * @param priority its rank, 0 first
      * @param sinceNanos since when, in nanoseconds
+     * @param onTimeNanos until when it can still be on time, in nanoseconds
      * @param untilNanos how long it may, in nanoseconds
      * @param number tells equals apart
      * @param <T> what waits
      */
-    public record Entry<T>(T item, int priority, long sinceNanos, long untilNanos, long number) {}
+    public record Entry<T>(T item, int priority, long sinceNanos, long onTimeNanos, long untilNanos, long number) {}
 
     /**
      * Adds one.
@@ -48,14 +51,15 @@
      * @param item what waits
      * @param priority its rank, 0 first
      * @param sinceNanos since when it counts as waiting, in nanoseconds
+     * @param onTimeNanos until when it can still be on time, in nanoseconds
      * @param untilNanos how long it may wait, in nanoseconds
      * @return whether there was room
      */
-    public boolean offer(T item, int priority, long sinceNanos, long untilNanos) {
+    public boolean offer(T item, int priority, long sinceNanos, long onTimeNanos, long untilNanos) {
         if (entries.size() >= capacity) {
             return false;
         }
-        return entries.add(new Entry<>(item, priority, sinceNanos, untilNanos, nextNumber++));
+        return entries.add(new Entry<>(item, priority, sinceNanos, onTimeNanos, untilNanos, nextNumber++));
     }
 
     /**
@@ -88,10 +92,13 @@
     /**
      * Offers the waiting ones to a taker in their order, and takes out those that it takes.
      *
+     * @param nowNanos the time, in nanoseconds
      * @param taker tells whether it took one
      */
-    public void serve(Predicate<T> taker) {
-        for (Entry<T> entry : List.copyOf(entries)) {
+    public void serve(long nowNanos, Predicate<T> taker) {
+        List<Entry<T>> ordered = new ArrayList<>(entries);
+        ordered.sort(Comparator.comparing(entry -> nowNanos - entry.onTimeNanos() >= 0));
+        for (Entry<T> entry : ordered) {
             if (entries.contains(entry) && taker.test(entry.item())) {
                 entries.remove(entry);
             }
--- a/galenahinge/src/main/java/org/galenahinge/placement/Choice.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Choice.java
@@ -24,6 +24,13 @@
      */
     record Full(int able) implements Choice {}
 
+    /**
+     * No upstream can serve it now, but some are about to: they load weights or have just started.
+     *
+     * @param coming how many there are
+     */
+    record Coming(int coming) implements Choice {}
+
     /**
      * There is no upstream for it.
      *
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -51,8 +51,10 @@
         double bestScore = Double.MAX_VALUE;
         double bestPredicted = 0;
         int able = 0;
+        int coming = 0;
         for (Candidate candidate : candidates) {
             if (!isAble(candidate, engine, demand, nowNanos)) {
+                coming += isComing(candidate, engine, demand) ? 1 : 0;
                 continue;
             }
             able++;
@@ -70,7 +72,19 @@
         if (best != null) {
             return new Choice.Chosen(best, bestPredicted);
         }
-        return able > 0 ? new Choice.Full(able) : new Choice.Nowhere(nowhere(candidates, demand));
+        if (able > 0) {
+            return new Choice.Full(able);
+        }
+        return coming > 0 ? new Choice.Coming(coming) : new Choice.Nowhere(nowhere(candidates, demand));
+    }
+
+    /** An engine that is there without the right weights is being brought to them. */
+    private static boolean isComing(Candidate candidate, Optional<EngineFigures> engine, Demand demand) {
+        boolean fits = demand.prompt().map(PromptShape::totalTokens).orElse(0L)
+                <= engine.map(EngineFigures::memoryTokens).orElse(0L);
+        return fits
+                && !candidate.upstream().leaving()
+                && !demand.excluded().contains(candidate.upstream().id());
     }
 
     private static boolean isAble(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
--- a/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
@@ -11,27 +11,37 @@
 
     @Test
     void servesTheMostUrgentFirstAndThoseWhoCameFirst() {
-        queue.offer("late", 1, 20, 100);
-        queue.offer("early", 1, 10, 100);
-        queue.offer("urgent", 0, 30, 100);
+        queue.offer("late", 1, 20, 90, 100);
+        queue.offer("early", 1, 10, 90, 100);
+        queue.offer("urgent", 0, 30, 90, 100);
         List<String> served = new ArrayList<>();
-        queue.serve(served::add);
+        queue.serve(40, served::add);
         assertThat(served).containsExactly("urgent", "early", "late");
         assertThat(queue.size()).isZero();
     }
 
+    /** After an outage: those that are late already do not make late those that have just come. */
+    @Test
+    void servesThoseFirstThatCanStillBeOnTime() {
+        queue.offer("waited long", 1, 10, 50, 500);
+        queue.offer("just came", 1, 80, 120, 600);
+        List<String> served = new ArrayList<>();
+        queue.serve(100, served::add);
+        assertThat(served).containsExactly("just came", "waited long");
+    }
+
     @Test
     void refusesWhenItIsFull() {
-        queue.offer("one", 0, 1, 100);
-        queue.offer("two", 0, 1, 100);
-        queue.offer("three", 0, 1, 100);
-        assertThat(queue.offer("four", 0, 1, 100)).isFalse();
+        queue.offer("one", 0, 1, 90, 100);
+        queue.offer("two", 0, 1, 90, 100);
+        queue.offer("three", 0, 1, 90, 100);
+        assertThat(queue.offer("four", 0, 1, 90, 100)).isFalse();
     }
 
     @Test
     void givesUpThoseWhoseTimeHasPassed() {
-        queue.offer("short", 0, 1, 50);
-        queue.offer("long", 0, 1, 100);
+        queue.offer("short", 0, 1, 40, 50);
+        queue.offer("long", 0, 1, 90, 100);
         assertThat(queue.expire(60)).containsExactly("short");
         assertThat(queue.size()).isEqualTo(1);
     }
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -73,6 +73,15 @@
         assertThat(choose(List.of(engine("engine", "a", 1)), demand(400_000))).isInstanceOf(Choice.Nowhere.class);
     }
 
+    /** After a loss of power: engines are there and empty, and are brought to their weights within seconds. */
+    @Test
+    void saysThatEnginesAreComingWhereNoneHasWeightsYet() {
+        Upstream empty =
+                new Upstream("empty", "s", new WireAddress("10.0.0.1", 80), "a", 16, false, Optional.empty(), 0, 1);
+        List<Candidate> candidates = List.of(new Candidate(empty, new UpstreamLoad()));
+        assertThat(choose(candidates, demand(500))).isEqualTo(new Choice.Coming(1));
+    }
+
     private String chosen(List<Candidate> candidates, Demand demand) {
         return ((Choice.Chosen) choose(candidates, demand))
                 .candidate()
