Send short answers to engines that load soon; name a ticket file that is no text

Slot processes now tell when their turn comes, and the placement counts by how much an answer would overrun it. Test: PlacementTest.sendsShortAnswersToEnginesThatLoadSoon. Cause 2: 'ticket check' ended with 3 for a file that is not valid UTF-8; it names the fault and ends with 2. Test: CommandLineTest.

--- a/galenahinge/src/main/java/org/galenahinge/cli/CommandLine.java
+++ b/galenahinge/src/main/java/org/galenahinge/cli/CommandLine.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -160,7 +161,7 @@
         if (!Files.isReadable(path)) {
             throw new IllegalArgumentException("file: '" + file + "' cannot be read");
         }
-        TicketResult result = Ticket.parse(Files.readString(path, StandardCharsets.UTF_8));
+        TicketResult result = Ticket.parse(readText(path));
         if (result instanceof TicketResult.Invalid invalid) {
             if (json) {
                 print(invalid);
@@ -173,6 +174,14 @@
         return DONE;
     }
 
+    private static String readText(Path path) throws IOException {
+        try {
+            return Files.readString(path, StandardCharsets.UTF_8);
+        } catch (CharacterCodingException e) {
+            throw new IllegalArgumentException("file: '" + path + "' is not valid UTF-8", e);
+        }
+    }
+
     private int ticketStatus(OperatorClient client, long number, long waitSeconds, boolean json) throws IOException {
         long until = System.nanoTime() + Duration.ofSeconds(waitSeconds).toNanos();
         TicketStatus status = client.ticketStatus(number);
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
@@ -37,6 +38,7 @@
                 .setContextTokens(report.contextTokens())
                 .setPace(report.pace())
                 .setLoading(report.loading());
+        report.untilLoad().ifPresent(left -> datagram.setTurnKnown(true).setUntilTurnMillis(left.toMillis()));
         report.weights().ifPresent(held -> datagram.setModel(held.model()).setVersion(held.version()));
         return datagram.build().toByteArray();
     }
@@ -53,6 +55,9 @@
                     datagram.getContextTokens(),
                     datagram.getPace(),
                     datagram.getLoading(),
+                    datagram.getTurnKnown()
+                            ? Optional.of(Duration.ofMillis(datagram.getUntilTurnMillis()))
+                            : Optional.empty(),
                     weights);
             return Optional.of(new Load(WireAddress.parse(datagram.getAddress()), datagram.getBornMillis(), report));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -198,6 +198,7 @@
                 report.contextUsed() / layers,
                 report.pace(),
                 keeper.isLoading(),
+                keeper.untilLoad(),
                 report.weights());
         byte[] datagram = LoadCodec.write(new LoadCodec.Load(upstream, report.bornMillis(), load));
         List<NodeCard> entries = roster.nearestFirst();
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -14,6 +14,7 @@
     /** What an upstream in another failure domain must be faster by to be chosen, in milliseconds. */
     private static final double BORDER_HANDICAP_MILLIS = 40;
 
+    private static final double OVERRUN_WEIGHT = 0.3;
     private static final double TIE_MILLIS = 8;
     private static final double PLAIN_CALL_MILLIS = 20;
     private static final int PLAIN_PLACES_SHARED_BY = 3;
@@ -62,7 +63,10 @@
                 continue;
             }
             double predicted = predict(candidate, engine, demand, nowNanos);
-            double score = predicted + handicap(candidate) + random.nextDouble() * TIE_MILLIS;
+            double score = predicted
+                    + handicap(candidate)
+                    + overrunMillis(candidate, engine, demand, predicted, nowNanos) * OVERRUN_WEIGHT
+                    + random.nextDouble() * TIE_MILLIS;
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
@@ -141,6 +145,20 @@
                 .firstTokenMillis(candidate.load().engineState(engine.get(), nowNanos), prompt);
     }
 
+    /** How long a request would keep an engine from loading: the shorter ones go to those that load soon. */
+    private static double overrunMillis(
+            Candidate candidate, Optional<EngineFigures> engine, Demand demand, double predicted, long nowNanos) {
+        var untilLoad = candidate.load().report(nowNanos).flatMap(UpstreamLoad.LoadReport::untilLoad);
+        if (engine.isEmpty() || untilLoad.isEmpty() || demand.prompt().isEmpty()) {
+            return 0;
+        }
+        double writing = EngineModel.of(engine.get())
+                .writeMillis(
+                        candidate.load().engineState(engine.get(), nowNanos),
+                        demand.prompt().get().answerTokens());
+        return Math.max(0, predicted + writing - untilLoad.get().toMillis());
+    }
+
     private double handicap(Candidate candidate) {
         return candidate.upstream().zone().equals(zone) ? 0 : BORDER_HANDICAP_MILLIS;
     }
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -37,6 +37,7 @@
      * @param contextTokens the context held, in tokens
      * @param pace how much slower than its figures it works
      * @param loading whether it is loading weights and takes no new requests
+     * @param untilLoad how long until it is to stop for loading, where that is known
      * @param weights the weights that it works with
      */
     public record LoadReport(
@@ -45,9 +46,11 @@
             double contextTokens,
             double pace,
             boolean loading,
+            Optional<Duration> untilLoad,
             Optional<HeldWeights> weights) {
         /** Checks the parts. */
         public LoadReport {
+            Objects.requireNonNull(untilLoad, "untilLoad");
             Objects.requireNonNull(weights, "weights");
         }
     }
--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -210,6 +210,19 @@
         return loading || report.filter(EngineReport::busy).isPresent();
     }
 
+    /**
+     * Returns how long until the engine is to stop for loading.
+     *
+     * @return the time, zero when its turn has come, or empty when it is not to load or its turn is not known
+     */
+    public Optional<Duration> untilLoad() {
+        if (isLoading() || report.filter(state -> !isSatisfied(state)).isEmpty()) {
+            return Optional.empty();
+        }
+        long now = timers.nanoTime();
+        return turnNanos.map(turn -> Duration.ofNanos(Math.max(0, turn - now)));
+    }
+
     private boolean isSatisfied(EngineReport state) {
         return wanted.isEmpty() || holds(state, wanted.get().weights());
     }
--- a/galenahinge/src/test/java/org/galenahinge/cli/CommandLineTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/cli/CommandLineTest.java
@@ -42,6 +42,14 @@
         assertThat(errors.toString(StandardCharsets.UTF_8)).contains("number:").contains("groups:");
     }
 
+    @Test
+    void refusesATicketThatIsNoText() throws IOException {
+        Path file = Files.write(folder.resolve("ticket.json"), new byte[] {'{', (byte) 0xff, (byte) 0xfe, '}'});
+
+        assertThat(commandLine.run("ticket", "check", file.toString())).isEqualTo(CommandLine.WRONG);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("UTF-8");
+    }
+
     @Test
     void saysWhenNoEntryAnswers() {
         assertThat(commandLine.run("fleet")).isEqualTo(CommandLine.NO_ANSWER);
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -32,7 +33,7 @@
     @Test
     void goesFurtherWhereTheOwnFailureDomainIsFull() {
         Candidate near = engine("near", "a", 1);
-        near.load().reported(new LoadReport(16, 0, 20_000, 1, false, held(1)), NOW);
+        near.load().reported(new LoadReport(16, 0, 20_000, 1, false, Optional.empty(), held(1)), NOW);
         assertThat(chosen(List.of(engine("far", "b", 1), near), demand(500))).isEqualTo("far");
     }
 
@@ -61,7 +62,7 @@
     @Test
     void sendsNothingToEnginesThatLoadOrRest() {
         Candidate loading = engine("loading", "a", 1);
-        loading.load().reported(new LoadReport(0, 0, 0, 1, true, held(1)), NOW);
+        loading.load().reported(new LoadReport(0, 0, 0, 1, true, Optional.empty(), held(1)), NOW);
         Candidate resting = engine("resting", "a", 1);
         resting.load().failed(NOW);
         resting.load().failed(NOW);
@@ -73,6 +74,19 @@
         assertThat(choose(List.of(engine("engine", "a", 1)), demand(400_000))).isInstanceOf(Choice.Nowhere.class);
     }
 
+    /** A version is rolled out: long answers would keep an engine from loading that is to load soon; short ones do not. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 250})
+    void sendsShortAnswersToEnginesThatLoadSoon(int answerTokens) {
+        Candidate soon = engine("soon", "a", 1);
+        soon.load().reported(new LoadReport(0, 0, 0, 1, false, Optional.of(Duration.ofMillis(500)), held(1)), NOW);
+        Candidate later = engine("later", "a", 1);
+        later.load().reported(new LoadReport(4, 0, 4_000, 1, false, Optional.empty(), held(1)), NOW);
+        Demand demand =
+                new Demand(Optional.of(new PromptShape("m", 300, answerTokens)), Set.of(), OptionalLong.empty());
+        assertThat(chosen(List.of(soon, later), demand)).isEqualTo(answerTokens < 100 ? "soon" : "later");
+    }
+
     /** After a loss of power: engines are there and empty, and are brought to their weights within seconds. */
     @Test
     void saysThatEnginesAreComingWhereNoneHasWeightsYet() {
