Keep a removed upstream only when the store was away for all; go on reading where the watcher cannot

All others went stale every 1.5 s and read by themselves; each time they took it for the store's return and kept a removed engine for two more seconds: DRAIN, 2,055 ms. Now only facts older than 2.5 s count as an outage, a node goes on reading for 5 s, and a peer with old facts is left for another one. Tests: FactFollowerTest (failing before).

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactFollower.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactFollower.java
@@ -25,6 +25,13 @@
     private static final Duration STORE_WAIT = Duration.ofMillis(800);
     private static final Duration PEER_WAIT = Duration.ofSeconds(1);
     private static final Duration STORE_BATCH = Duration.ofMillis(100);
+    /** How long a node goes on reading by itself after its source failed it, so that it does not go stale again. */
+    private static final Duration ACTING_FOR = Duration.ofSeconds(5);
+
+    /** Facts older than this when they can be read again mean that the store was away, and entries may have lapsed. */
+    private static final Duration AWAY_AFTER = Duration.ofMillis(2_500);
+
+    private static final Duration OLD_ANSWER_PAUSE = Duration.ofMillis(60);
     private static final Duration CHECK_EVERY = Duration.ofMillis(100);
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(80);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(800);
@@ -37,14 +44,17 @@
     private final Timers timers;
     private final EventLog log;
     private final Random random;
-    private final Source storeSource = new Source(STORE_WAIT);
-    private final Source peerSource = new Source(PEER_WAIT);
+    private final Source storeSource = new Source(STORE_WAIT, true);
+    private final Source peerSource = new Source(PEER_WAIT, false);
     private Runnable storeReturned = () -> {};
     private Runnable refreshed = () -> {};
     private boolean loaded;
     private boolean stale = true;
     private long freshAtNanos;
     private long jitterNanos;
+    private long actingUntilNanos;
+    private Optional<FactStore> keptPeer = Optional.empty();
+    private long keptUntilNanos;
 
     /** Hears of items. */
     @FunctionalInterface
@@ -94,6 +104,7 @@
         this.log = log;
         this.random = new Random(seed);
         this.freshAtNanos = timers.nanoTime();
+        this.actingUntilNanos = freshAtNanos;
     }
 
     /**
@@ -121,7 +132,7 @@
     }
 
     /**
-     * Sets what runs when facts can be read again after they were stale.
+     * Sets what runs when facts can be read again after the store was away for all that this node could ask.
      *
      * @param action the action
      */
@@ -152,6 +163,15 @@
         return loaded;
     }
 
+    /**
+     * Tells whether the facts are older than others should rely on.
+     *
+     * @return whether they are old, or not known at all
+     */
+    public boolean isStale() {
+        return !loaded || age().compareTo(STALE_AFTER) > 0;
+    }
+
     /**
      * Returns how old the facts are.
      *
@@ -170,15 +190,44 @@
 
     private void readWanted() {
         boolean doubtful = !loaded || age().compareTo(staleAfter()) > 0;
+        long now = timers.nanoTime();
+        if (loaded && doubtful) {
+            actingUntilNanos = now + ACTING_FOR.toNanos();
+        }
         boolean watcher = peers.isWatcher();
-        if (watcher || doubtful) {
+        boolean acting = !loaded || now - actingUntilNanos < 0 || (!watcher && peerSource.failures > 0);
+        if (watcher || acting) {
             start(storeSource, Optional.of(store));
         }
-        if (!watcher || doubtful) {
-            start(peerSource, peers.source(peerSource.failures));
+        if (!watcher || acting) {
+            start(peerSource, peer(now));
         }
     }
 
+    private Optional<FactStore> peer(long now) {
+        if (keptPeer.isPresent() && now - keptUntilNanos < 0 && peerSource.failures == 0) {
+            return keptPeer;
+        }
+        return peers.source(peerSource.failures);
+    }
+
+    /** A node whose own facts are old is as little use as one that fails: another is asked, and kept when it is better. */
+    private void judge(Source source, FactStore from, Duration age) {
+        if (source != peerSource) {
+            source.failures = 0;
+            return;
+        }
+        if (age.compareTo(STALE_AFTER) > 0) {
+            source.failures++;
+            return;
+        }
+        if (source.failures > 0) {
+            keptPeer = Optional.of(from);
+            keptUntilNanos = timers.nanoTime() + ACTING_FOR.toNanos();
+        }
+        source.failures = 0;
+    }
+
     private void start(Source source, Optional<FactStore> from) {
         if (source.busy || from.isEmpty() || timers.nanoTime() - source.notBeforeNanos < 0) {
             return;
@@ -203,9 +252,9 @@
                     .with("failures", source.failures)
                     .write();
         }
-        source.failures = 0;
+        judge(source, from, reading.age());
         source.historyGone = false;
-        Duration pause = source == storeSource && !reading.items().isEmpty() ? STORE_BATCH : Duration.ZERO;
+        Duration pause = pauseAfter(source, reading);
         source.notBeforeNanos = timers.nanoTime() + pause.toNanos();
         if (!pause.isZero()) {
             timers.schedule(pause, this::readWanted);
@@ -223,16 +272,27 @@
         }
         Duration olderBy = loaded && stale ? age() : Duration.ZERO;
         loaded = true;
+        boolean away = age().compareTo(AWAY_AFTER) > 0;
         long asOf = timers.nanoTime() - reading.age().toNanos();
         if (asOf - freshAtNanos > 0) {
             freshAtNanos = asOf;
         }
+        if (away && age().compareTo(AWAY_AFTER) < 0) {
+            storeReturned.run();
+        }
         // Entries that lapsed meanwhile come with this very reading: the grace must stand first.
         noteStaleness();
         fresh.heard(news, olderBy);
         refreshed.run();
     }
 
+    private static Duration pauseAfter(Source source, FactStore.Reading reading) {
+        if (source.failures > 0) {
+            return OLD_ANSWER_PAUSE;
+        }
+        return source.store && !reading.items().isEmpty() ? STORE_BATCH : Duration.ZERO;
+    }
+
     private void failed(Source source, FactStore from, Throwable error) {
         source.failures++;
         FactReadException.Cause cause = error instanceof FactReadException read
@@ -275,20 +335,19 @@
                 .with("age_ms", age().toMillis())
                 .with("revision", facts.revision())
                 .write();
-        if (!now) {
-            storeReturned.run();
-        }
     }
 
     private static final class Source {
         private final Duration wait;
+        private final boolean store;
         private boolean busy;
         private boolean historyGone;
         private int failures;
         private long notBeforeNanos;
 
-        Source(Duration wait) {
+        Source(Duration wait, boolean store) {
             this.wait = wait;
+            this.store = store;
             this.notBeforeNanos = Long.MIN_VALUE / 2;
         }
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -66,7 +66,8 @@
             reply.accept(HttpDocument.text(503, "text/plain", "no facts are known yet\n"));
             return;
         }
-        if (hasNews(ask) || waiting.size() >= MAXIMUM_WAITING || ask.patience().isZero()) {
+        boolean noUseInWaiting = follower.isStale() || waiting.size() >= MAXIMUM_WAITING;
+        if (hasNews(ask) || noUseInWaiting || ask.patience().isZero()) {
             answer(ask, reply);
             return;
         }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactFollowerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactFollowerTest.java
@@ -13,6 +13,7 @@
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.facts.FactReadException.Cause;
 import org.galenahinge.log.EventLog;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -24,6 +25,7 @@
     private final List<FactItem> heard = new ArrayList<>();
     private final List<Duration> olderBy = new ArrayList<>();
     private boolean watcher;
+    private int returns;
     private boolean peerKnown = true;
     private final FactFollower follower = FactFollower.create(
             store,
@@ -37,6 +39,11 @@
             EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
             7);
 
+    @BeforeEach
+    void countReturns() {
+        follower.onReturn(() -> returns++);
+    }
+
     @Test
     void readsFromTheNearerSourceAndLeavesTheStoreAlone() {
         follower.begin();
@@ -70,6 +77,33 @@
         assertThat(heard).extracting(FactItem::key).contains("change");
     }
 
+    /** The watcher is turned away by the store and answers with old facts: this node reads on by itself. */
+    @Test
+    void doesNotGoStaleAgainAndAgainBesideAWatcherWithOldFacts() {
+        follower.begin();
+        timers.advance(Duration.ofSeconds(3));
+        peer.age = Duration.ofSeconds(9);
+        timers.advance(Duration.ofSeconds(2));
+        for (int tenth = 0; tenth < 80; tenth++) {
+            timers.advance(Duration.ofMillis(100));
+            assertThat(follower.age()).isLessThan(Duration.ofMillis(1_500));
+        }
+        assertThat(returns).isZero();
+    }
+
+    /** Only a store that was away for all counts as returned: then entries may have lapsed. */
+    @Test
+    void saysThatTheStoreReturnedOnlyAfterItWasAway() {
+        follower.begin();
+        timers.advance(Duration.ofSeconds(3));
+        store.silent = true;
+        peer.silent = true;
+        timers.advance(Duration.ofSeconds(5));
+        store.silent = false;
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(returns).isEqualTo(1);
+    }
+
     @ParameterizedTest
     @EnumSource(Cause.class)
     void triesAgainAfterEveryKindOfFailureWithoutAStampede(Cause cause) {
@@ -110,6 +144,7 @@
         private final List<FactItem> items = new ArrayList<>();
         private Optional<Cause> failure = Optional.empty();
         private boolean silent;
+        private Duration age = Duration.ZERO;
         private long revision = 1;
         private int reads;
 
@@ -142,7 +177,7 @@
             boolean atOnce = after == 0 || !news.isEmpty();
             timers.schedule(
                     atOnce ? Duration.ofMillis(5) : wait,
-                    () -> reading.complete(new Reading(news, after == 0, revision, Duration.ZERO)));
+                    () -> reading.complete(new Reading(news, after == 0, revision, age)));
             return reading;
         }
 
