Wait only for engines that load or have just been heard of

Now a request waits only where an engine loads or was first heard of within 1.5 s; otherwise it is refused at once and told to come back late.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
@@ -216,7 +216,7 @@
                 .write();
         switch (next) {
             case SEND_AGAIN -> place();
-            case REFUSE -> refuse(Refusal.notRun("not_run", detail, retryAfter(FULL_RETRY)));
+            case REFUSE -> refuse(Refusal.notRun("not_run", detail, retryAfterOutage()));
             case SAY_UNKNOWN -> refuse(unknown(detail));
             case PASS_FAILURE -> {
                 return true;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -69,7 +69,7 @@
         this.nodes = nodes;
         this.placement = Placement.create(settings.zone(), seed);
         this.random = new Random(seed);
-        this.upstreams = new UpstreamTable(loop, registry.counter("upstream.connections.opened"));
+        this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         registry.gauge("upstream.known", () -> upstreams::size);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamTable.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamTable.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.galenahinge.concurrent.Timers;
 import org.galenahinge.placement.Candidate;
 import org.galenahinge.placement.UpstreamLoad;
 import org.galenahinge.upstream.Upstream;
@@ -20,6 +21,7 @@
 /** The upstreams with their loads and connections. Belongs to one thread. */
 final class UpstreamTable {
     private final EventLoop loop;
+    private final Timers timers;
     private final Counter opened;
     private final Map<String, Entry> byId = new HashMap<>();
     private final Map<WireAddress, Entry> byAddress = new HashMap<>();
@@ -27,7 +29,8 @@
 
     private record Entry(Upstream upstream, UpstreamLoad load, UpstreamPool pool) {}
 
-    UpstreamTable(EventLoop loop, Counter opened) {
+    UpstreamTable(EventLoop loop, Timers timers, Counter opened) {
+        this.timers = Objects.requireNonNull(timers, "timers");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.opened = Objects.requireNonNull(opened, "opened");
     }
@@ -79,6 +82,6 @@
         if (known != null) {
             known.pool().close();
         }
-        return new Entry(upstream, new UpstreamLoad(), UpstreamPool.create(loop, upstream, opened));
+        return new Entry(upstream, new UpstreamLoad(timers.nanoTime()), UpstreamPool.create(loop, upstream, opened));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -39,7 +39,7 @@
  */
 public final class EntryNode {
     private static final Duration CLOSE_IDLE_AFTER = Duration.ofMillis(2_500);
-    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+    private static final Duration STOP_MARGIN = Duration.ofMillis(1_200);
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
     private static final Duration JOIN_CHECK = Duration.ofMillis(50);
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -55,7 +55,7 @@
         int coming = 0;
         for (Candidate candidate : candidates) {
             if (!isAble(candidate, engine, demand, nowNanos)) {
-                coming += isComing(candidate, engine, demand) ? 1 : 0;
+                coming += isComing(candidate, engine, demand, nowNanos) ? 1 : 0;
                 continue;
             }
             able++;
@@ -82,11 +82,18 @@
         return coming > 0 ? new Choice.Coming(coming) : new Choice.Nowhere(nowhere(candidates, demand));
     }
 
-    /** An engine that is there without the right weights is being brought to them. */
-    private static boolean isComing(Candidate candidate, Optional<EngineFigures> engine, Demand demand) {
+    /** An engine that loads, or that this node knows only by an entry in the store so far, is ready within a second or two. */
+    private static boolean isComing(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
         boolean fits = demand.prompt().map(PromptShape::totalTokens).orElse(0L)
                 <= engine.map(EngineFigures::memoryTokens).orElse(0L);
+        boolean soon = candidate.load().isUnproven(nowNanos)
+                || candidate
+                        .load()
+                        .report(nowNanos)
+                        .filter(UpstreamLoad.LoadReport::loading)
+                        .isPresent();
         return fits
+                && soon
                 && !candidate.upstream().leaving()
                 && !demand.excluded().contains(candidate.upstream().id());
     }
@@ -99,7 +106,8 @@
         if (engine.isEmpty()) {
             return true;
         }
-        return holdsWeights(candidate, demand, nowNanos)
+        return !candidate.load().isUnproven(nowNanos)
+                && holdsWeights(candidate, demand, nowNanos)
                 && demand.prompt().map(PromptShape::totalTokens).orElse(0L)
                         <= engine.get().memoryTokens();
     }
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -14,6 +14,8 @@
  */
 public final class UpstreamLoad {
     private static final Duration REPORT_VALID = Duration.ofMillis(1_200);
+    private static final Duration PROOF_WITHIN = Duration.ofMillis(1_500);
+    private static final Duration UNREPORTED_REFUSAL_REST = Duration.ofMillis(600);
     private static final double DEFAULT_STAY_MILLIS = 1_500;
     private static final double STAY_SMOOTHING = 0.1;
     private static final Duration FIRST_REST = Duration.ofMillis(400);
@@ -21,6 +23,7 @@
     private static final Duration REFUSAL_REST = Duration.ofMillis(120);
     private static final int FAILURES_BEFORE_REST = 2;
 
+    private final long sinceNanos;
     private final Map<Object, OwnCall> own = new LinkedHashMap<>();
     private Optional<LoadReport> report = Optional.empty();
     private long reportNanos;
@@ -29,6 +32,15 @@
     private int failuresInRow;
     private long restUntilNanos = Long.MIN_VALUE / 2;
 
+    /**
+     * Creates the load of an upstream of which nothing has been heard.
+     *
+     * @param sinceNanos when this node first knew it, in nanoseconds
+     */
+    public UpstreamLoad(long sinceNanos) {
+        this.sinceNanos = sinceNanos;
+    }
+
     /**
      * What a slot process says of its upstream.
      *
@@ -79,6 +91,17 @@
         return report.filter(known -> nowNanos - reportNanos < REPORT_VALID.toNanos());
     }
 
+    /**
+     * Tells whether word of the upstream's slot process is still to be waited for. Until then its entry in the store may
+     * describe what it held before it lost power.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return whether it is new to this node and has not been heard of
+     */
+    public boolean isUnproven(long nowNanos) {
+        return report.isEmpty() && nowNanos - sinceNanos < PROOF_WITHIN.toNanos();
+    }
+
     /**
      * Returns how old the last report is.
      *
@@ -138,7 +161,8 @@
      */
     public void refused(Object call, long nowNanos) {
         own.remove(call);
-        restUntilNanos = Math.max(restUntilNanos, nowNanos + REFUSAL_REST.toNanos());
+        Duration rest = report(nowNanos).isPresent() ? REFUSAL_REST : UNREPORTED_REFUSAL_REST;
+        restUntilNanos = Math.max(restUntilNanos, nowNanos + rest.toNanos());
     }
 
     /**
