--- a/bench/src/main/java/org/galenahinge/bench/Rehearsal.java
+++ b/bench/src/main/java/org/galenahinge/bench/Rehearsal.java
@@ -44,7 +44,7 @@
             call(entryPorts.ready(), "/galenahinge/ready", round);
             call(entryPorts.directory(), "/galenahinge/resolve?zone=zone-a", round);
             if (round == ROUNDS / 2) {
-                deployment.store().put("op/version/m", "{\"model\":\"m\",\"version\":2}");
+                deployment.nameVersion(2);
             }
             Thread.sleep(PAUSE_MILLIS);
         }
@@ -58,11 +58,7 @@
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), READ_TIMEOUT_MILLIS);
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-            String request = "POST " + path + " HTTP/1.1\r\nHost: " + DeploymentStandIn.HOST + "\r\nAttempt-Id: r"
-                    + round + path.hashCode() + "\r\nApi-Key: " + DeploymentStandIn.KEY
-                    + "\r\nModel: m\r\nToken-Counts: 100,20\r\nDeadline-Ms: 1500\r\nConnection: close\r\n"
-                    + "Content-Length: 2\r\n\r\nhi";
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(DeploymentStandIn.request(path, "r" + round + path.hashCode()));
             byte[] answer = socket.getInputStream().readAllBytes();
             System.err.println(path + " "
                     + new String(answer, StandardCharsets.UTF_8)
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -4,9 +4,11 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -87,10 +89,7 @@
         }
         connection = Optional.of(open);
         handedOver = true;
-        open.send(
-                call.head(upstreamId(), exactVersion),
-                Unpooled.wrappedBuffer(call.call().body()),
-                this);
+        open.send(head(), Unpooled.wrappedBuffer(call.call().body()), this);
         watch(patienceFor());
     }
 
@@ -198,6 +197,17 @@
         return (long) predictedMillis;
     }
 
+    private DefaultHttpRequest head() {
+        Call asked = call.call();
+        HttpHeaders forwarded = new DefaultHttpHeaders(false);
+        HopHeaders.copy(asked.headers(), forwarded);
+        call.gateway().translator().prepare(forwarded, call.forwarding(upstreamId(), exactVersion));
+        if (asked.body().length > 0 || asked.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            forwarded.set(HttpHeaderNames.CONTENT_LENGTH, asked.body().length);
+        }
+        return new DefaultHttpRequest(HttpVersion.HTTP_1_1, asked.method(), asked.uri(), forwarded);
+    }
+
     private boolean isSuccess() {
         return status >= OK && status < MULTIPLE_CHOICES;
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
@@ -3,10 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
@@ -38,11 +36,6 @@
     private static final double WAIT_SHARE_OF_TARGET = 0.6;
     private static final Duration LEAST_TIME_FOR_REPEAT = Duration.ofMillis(60);
     private static final Duration LONGEST_CONNECT_TRIES = Duration.ofSeconds(2);
-    private static final Duration FULL_RETRY = Duration.ofMillis(400);
-
-    /** Callers come back after at most this share of their time, so longer waits would not be kept. */
-    private static final double LONGEST_RETRY_SHARE = 1.0 / 3;
-
     private static final double COMING_WAIT_SHARE = 0.3;
     private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(700);
 
@@ -216,7 +209,8 @@
                 .write();
         switch (next) {
             case SEND_AGAIN -> place();
-            case REFUSE -> refuse(Refusal.notRun("not_run", detail, retryAfterOutage()));
+            case REFUSE ->
+                refuse(Refusal.notRun("not_run", detail, ReturnTime.afterOutage(timeLeft(), gateway.draw())));
             case SAY_UNKNOWN -> refuse(unknown(detail));
             case PASS_FAILURE -> {
                 return true;
@@ -230,18 +224,10 @@
         return RepeatPolicy.decide(progress(), Outcome.UNKNOWN) == Next.SEND_AGAIN && choose() instanceof Choice.Chosen;
     }
 
-    /** Builds the head of the request for an upstream. */
-    DefaultHttpRequest head(String upstreamId, OptionalLong exactVersion) {
-        HttpHeaders headers = new DefaultHttpHeaders(false);
-        HopHeaders.copy(call.headers(), headers);
+    /** What the system says to an upstream beside the caller's own words. */
+    Forwarding forwarding(String upstreamId, OptionalLong exactVersion) {
         Optional<String> organisation = admitted.organisation().map(Organisation::name);
-        gateway.translator()
-                .prepare(headers, new Forwarding(upstreamId, organisation, timeLeft(), exactVersion, lastEventId));
-        DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), headers);
-        if (call.body().length > 0 || call.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
-        }
-        return request;
+        return new Forwarding(upstreamId, organisation, timeLeft(), exactVersion, lastEventId);
     }
 
     private Duration limit() {
@@ -283,7 +269,11 @@
             await((long) (limit().toNanos() * COMING_WAIT_SHARE));
         } else {
             String detail = ((Choice.Nowhere) choice).detail();
-            refuse(mayHaveRun ? unknown(detail) : Refusal.notRun("no_upstream", detail, retryAfterOutage()));
+            refuse(
+                    mayHaveRun
+                            ? unknown(detail)
+                            : Refusal.notRun(
+                                    "no_upstream", detail, ReturnTime.afterOutage(timeLeft(), gateway.draw())));
         }
     }
 
@@ -305,7 +295,7 @@
         String id = candidate.upstream().id();
         Optional<UpstreamPool> pool = gateway.pool(id);
         if (pool.isEmpty()) {
-            refuse(Refusal.notRun("no_upstream", "the upstream has just left", retryAfter(FULL_RETRY)));
+            refuse(Refusal.notRun("no_upstream", "the upstream has just left", ReturnTime.whenFull(gateway.draw())));
             return;
         }
         tried.add(id);
@@ -355,32 +345,22 @@
         if (handedOver) {
             refuse(Refusal.outOfTime("no whole answer within the time"));
         } else {
-            refuse(Refusal.notRun("timeout", "no place within the time", retryAfter(FULL_RETRY)));
+            refuse(Refusal.notRun("timeout", "no place within the time", ReturnTime.whenFull(gateway.draw())));
         }
     }
 
     private Refusal full() {
         if (choose() instanceof Choice.Coming) {
-            return Refusal.notRun("coming", "engines are being loaded", retryAfterOutage());
+            return Refusal.notRun(
+                    "coming", "engines are being loaded", ReturnTime.afterOutage(timeLeft(), gateway.draw()));
         }
-        return Refusal.notRun("full", "no place is free", retryAfter(FULL_RETRY));
+        return Refusal.notRun("full", "no place is free", ReturnTime.whenFull(gateway.draw()));
     }
 
     private Refusal unknown(String detail) {
         return Refusal.mayHaveRun("may_have_run", detail);
     }
 
-    /** Spreads those who come back. */
-    private Duration retryAfter(Duration base) {
-        return Duration.ofMillis((long) (base.toMillis() * (1 + 2 * gateway.draw())));
-    }
-
-    /** An outage lasts for seconds: who has one more try is best served late in the time that is left. */
-    private Duration retryAfterOutage() {
-        double share = LONGEST_RETRY_SHARE * (0.75 + 0.25 * gateway.draw());
-        return Duration.ofMillis((long) (timeLeft().toMillis() * share));
-    }
-
     private void refuse(Refusal refusal) {
         boolean sayNotRun = refusal.status() == 503;
         if (sayNotRun && mayHaveRun) {
--- a/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
@@ -32,7 +32,7 @@
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
 
     private final FleetFacts facts;
-    private final WeightsLibrary library;
+    private final WeightsLibrary shelves;
     private final Timers timers;
     private final Supplier<List<String>> nodes;
     private final List<Waiting> waiting = new ArrayList<>();
@@ -40,12 +40,12 @@
     private record Waiting(
             Supplier<Optional<Offer>> offer, String upstream, Consumer<HttpDocument> reply, Timers.Timer timer) {}
 
-    WeightsDesk(FleetFacts facts, WeightsLibrary library, Timers timers, Supplier<List<String>> nodes) {
+    WeightsDesk(FleetFacts facts, WeightsLibrary shelves, Timers timers, Supplier<List<String>> nodes) {
         this.facts = Objects.requireNonNull(facts, "facts");
-        this.library = Objects.requireNonNull(library, "library");
+        this.shelves = Objects.requireNonNull(shelves, "shelves");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.nodes = Objects.requireNonNull(nodes, "nodes");
-        library.onChange(this::manifestCame);
+        shelves.onChange(this::manifestCame);
     }
 
     /** Takes in that the facts have changed: versions may be named that are not here. */
@@ -80,21 +80,21 @@
     private void want(String model) {
         var named = facts.namedOf(model);
         if (named.isPresent()) {
-            library.want(named.get().weights(), named.get().sinceNanos());
+            shelves.want(named.get().weights(), named.get().sinceNanos());
         } else {
-            library.want(new HeldWeights(model, FIRST_VERSION), timers.nanoTime());
+            shelves.want(new HeldWeights(model, FIRST_VERSION), timers.nanoTime());
         }
     }
 
     private void answerWanted(QueryStringDecoder query, Consumer<HttpDocument> reply) {
         String service = NodeQuery.text(query, "service");
         long known = NodeQuery.number(query, "known");
-        await(() -> modelOf(service).flatMap(library::offer).filter(offer -> versionOf(offer) != known), query, reply);
+        await(() -> modelOf(service).flatMap(shelves::offer).filter(offer -> versionOf(offer) != known), query, reply);
     }
 
     private void answerManifest(QueryStringDecoder query, Consumer<HttpDocument> reply) {
         HeldWeights weights = new HeldWeights(NodeQuery.text(query, "model"), NodeQuery.number(query, "version"));
-        await(() -> library.find(weights), query, reply);
+        await(() -> shelves.find(weights), query, reply);
     }
 
     private void await(Supplier<Optional<Offer>> offer, QueryStringDecoder query, Consumer<HttpDocument> reply) {
@@ -160,7 +160,7 @@
     private void answerChunk(QueryStringDecoder query, Consumer<HttpDocument> reply) {
         HeldWeights weights = new HeldWeights(NodeQuery.text(query, "model"), NodeQuery.number(query, "version"));
         Duration wait = Duration.ofMillis(Math.min(NodeQuery.number(query, "wait"), LONGEST_WAIT.toMillis()));
-        library.give(
+        shelves.give(
                 weights,
                 (int) NodeQuery.number(query, "number"),
                 wait,
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -167,6 +167,29 @@
                 + ",\"target_gap_ms\":400}";
     }
 
+    /**
+     * Names the version of the model that engines are to hold.
+     *
+     * @param version the version
+     */
+    public void nameVersion(long version) {
+        store.put("op/version/m", "{\"model\":\"m\",\"version\":" + version + "}");
+    }
+
+    /**
+     * Returns a caller's request as it goes over the wire.
+     *
+     * @param path its path
+     * @param id its id
+     * @return the bytes
+     */
+    public static byte[] request(String path, String id) {
+        String text = "POST " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nAttempt-Id: " + id + "\r\nApi-Key: " + KEY
+                + "\r\nModel: m\r\nToken-Counts: 100,20\r\nDeadline-Ms: 1500\r\nConnection: close\r\n"
+                + "Content-Length: 2\r\n\r\nhi";
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
     /**
      * Writes the settings file of an entry.
      *
