Under overload leave the last places to requests that can be on time, and wait only as long as that helps

Now a request that comes back is known by the time that it has left; late ones leave two places an engine free; waits end while the answer can still be on time. Test: PlacementTest.keepsTheLastPlacesForThoseThatCanBeOnTime.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
@@ -33,7 +33,8 @@
     private static final double FRESH_SHARE = 0.5;
 
     private static final double KEPT_SHARE = 0.8;
-    private static final double WAIT_SHARE_OF_TARGET = 0.6;
+    private static final Duration LEAST_WAIT = Duration.ofMillis(60);
+    private static final Duration FIRST_EVENT_TAKES = Duration.ofMillis(220);
     private static final Duration LEAST_TIME_FOR_REPEAT = Duration.ofMillis(60);
     private static final Duration LONGEST_CONNECT_TRIES = Duration.ofSeconds(2);
     private static final double COMING_WAIT_SHARE = 0.3;
@@ -252,7 +253,8 @@
     }
 
     private Choice choose() {
-        return gateway.choose(admitted.service(), call.head().prompt(), tried);
+        boolean late = gateway.timers().nanoTime() - onTimeNanos() >= 0;
+        return gateway.choose(admitted.service(), call.head().prompt(), tried, late);
     }
 
     private void place() {
@@ -264,7 +266,7 @@
         if (choice instanceof Choice.Chosen chosen) {
             send(chosen);
         } else if (choice instanceof Choice.Full) {
-            await((long) (admitted.route().targetLatency().toNanos() * WAIT_SHARE_OF_TARGET));
+            await(Math.max(LEAST_WAIT.toNanos(), fullWaitNanos()));
         } else if (choice instanceof Choice.Coming) {
             await((long) (limit().toNanos() * COMING_WAIT_SHARE));
         } else {
@@ -277,12 +279,29 @@
         }
     }
 
+    /** A wait is of use as long as the answer can still begin on time afterwards. */
+    private long fullWaitNanos() {
+        return onTimeNanos() - call.arrivedNanos() - FIRST_EVENT_TAKES.toNanos();
+    }
+
+    /** Until when it can be on time: a caller that comes back has less time left than the route gives. */
+    private long onTimeNanos() {
+        Duration timeout = admitted.route().timeout();
+        Duration spent = call.head()
+                .timeLeft()
+                .filter(left -> left.compareTo(timeout) < 0)
+                .map(timeout::minus)
+                .orElse(Duration.ZERO);
+        return call.arrivedNanos()
+                - spent.toNanos()
+                + admitted.route().targetLatency().toNanos();
+    }
+
     private void await(long waitNanos) {
         long now = gateway.timers().nanoTime();
         long since = call.arrivedNanos();
-        long onTime = since + admitted.route().targetLatency().toNanos();
         long until = Math.min(limitNanos, Math.max(now, since + waitNanos));
-        if (until - now <= 0 || !desk.waiting().offer(this, admitted.priority(), since, onTime, until)) {
+        if (until - now <= 0 || !desk.waiting().offer(this, admitted.priority(), since, onTimeNanos(), until)) {
             refuse(mayHaveRun ? unknown("no place for another try") : full());
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -211,11 +211,11 @@
         return upstreams.pool(upstreamId);
     }
 
-    Choice choose(String service, Optional<PromptShape> prompt, Set<String> excluded) {
+    Choice choose(String service, Optional<PromptShape> prompt, Set<String> excluded, boolean late) {
         Optional<EngineFigures> engine = facts.catalog().flatMap(catalog -> catalog.engineOf(service));
         OptionalLong least = prompt.map(shape -> leastVersion(shape.model())).orElse(OptionalLong.empty());
         List<Candidate> candidates = upstreams.candidates(service);
-        return placement.choose(candidates, engine, new Demand(prompt, excluded, least), timers.nanoTime());
+        return placement.choose(candidates, engine, new Demand(prompt, excluded, least, late), timers.nanoTime());
     }
 
     /** The version that requests must begin on, once the time for its spread is nearly over. */
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -14,6 +14,7 @@
     /** What an upstream in another failure domain must be faster by to be chosen, in milliseconds. */
     private static final double BORDER_HANDICAP_MILLIS = 40;
 
+    private static final int PLACES_KEPT_FROM_LATE = 2;
     private static final double OVERRUN_WEIGHT = 0.3;
     private static final double TIE_MILLIS = 8;
     private static final double PLAIN_CALL_MILLIS = 20;
@@ -140,7 +141,8 @@
         }
         double context = report.map(UpstreamLoad.LoadReport::contextTokens).orElse(0.0);
         long wanted = demand.prompt().map(PromptShape::totalTokens).orElse(0L);
-        return candidate.load().allCalls(nowNanos) < engine.get().slots()
+        int kept = demand.late() ? PLACES_KEPT_FROM_LATE : 0;
+        return candidate.load().allCalls(nowNanos) < engine.get().slots() - kept
                 && context + wanted <= engine.get().memoryTokens();
     }
 
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -55,7 +55,7 @@
     @ValueSource(longs = {1, 2})
     void keepsRequestsFromOldWeightsOnceTheirTimeIsOver(long version) {
         List<Candidate> candidates = List.of(engine("engine", "a", version));
-        Demand demand = new Demand(Optional.of(new PromptShape("m", 500, 80)), Set.of(), OptionalLong.of(2));
+        Demand demand = new Demand(Optional.of(new PromptShape("m", 500, 80)), Set.of(), OptionalLong.of(2), false);
         Choice choice = choose(candidates, demand);
         assertThat(choice instanceof Choice.Chosen).isEqualTo(version >= 2);
     }
@@ -75,6 +75,16 @@
         assertThat(choose(List.of(engine("engine", "a", 1)), demand(400_000))).isInstanceOf(Choice.Nowhere.class);
     }
 
+    /** Sustained overload: those that are late already take no place from those that can be on time. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void keepsTheLastPlacesForThoseThatCanBeOnTime(boolean late) {
+        Candidate nearlyFull = engine("engine", "a", 1);
+        nearlyFull.load().reported(new LoadReport(14, 0, 20_000, 1, false, Optional.empty(), held(1)), NOW);
+        Demand demand = new Demand(Optional.of(new PromptShape("m", 500, 80)), Set.of(), OptionalLong.empty(), late);
+        assertThat(choose(List.of(nearlyFull), demand) instanceof Choice.Chosen).isEqualTo(!late);
+    }
+
     /** A version is rolled out: long answers would keep an engine from loading that is to load soon; short ones do not. */
     @ParameterizedTest
     @ValueSource(ints = {20, 250})
@@ -84,7 +94,7 @@
         Candidate later = engine("later", "a", 1);
         later.load().reported(new LoadReport(4, 0, 4_000, 1, false, Optional.empty(), held(1)), NOW);
         Demand demand =
-                new Demand(Optional.of(new PromptShape("m", 300, answerTokens)), Set.of(), OptionalLong.empty());
+                new Demand(Optional.of(new PromptShape("m", 300, answerTokens)), Set.of(), OptionalLong.empty(), false);
         assertThat(chosen(List.of(soon, later), demand)).isEqualTo(answerTokens < 100 ? "soon" : "later");
     }
 
@@ -103,7 +113,7 @@
     @Test
     void saysAtOnceThatNobodyCanServeWhileNoEngineLoads() {
         List<Candidate> candidates = List.of(engine("engine", "a", 1));
-        Demand demand = new Demand(Optional.of(new PromptShape("m", 500, 80)), Set.of(), OptionalLong.of(2));
+        Demand demand = new Demand(Optional.of(new PromptShape("m", 500, 80)), Set.of(), OptionalLong.of(2), false);
         assertThat(choose(candidates, demand)).isInstanceOf(Choice.Nowhere.class);
         candidates.get(0).load().reported(new LoadReport(0, 0, 0, 1, true, Optional.empty(), held(1)), NOW);
         assertThat(choose(candidates, demand)).isEqualTo(new Choice.Coming(1));
@@ -121,7 +131,7 @@
     }
 
     private static Demand demand(int promptTokens) {
-        return new Demand(Optional.of(new PromptShape("m", promptTokens, 80)), Set.of(), OptionalLong.empty());
+        return new Demand(Optional.of(new PromptShape("m", promptTokens, 80)), Set.of(), OptionalLong.empty(), false);
     }
 
     private static Candidate engine(String id, String zone, long version) {
