--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
@@ -33,11 +33,8 @@
     private static final double FRESH_SHARE = 0.5;
 
     private static final double KEPT_SHARE = 0.8;
-    private static final Duration LEAST_WAIT = Duration.ofMillis(60);
-    private static final Duration FIRST_EVENT_TAKES = Duration.ofMillis(220);
     private static final Duration LEAST_TIME_FOR_REPEAT = Duration.ofMillis(60);
     private static final Duration LONGEST_CONNECT_TRIES = Duration.ofSeconds(2);
-    private static final double COMING_WAIT_SHARE = 0.3;
     private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(700);
 
     private final Gateway gateway;
@@ -46,7 +43,7 @@
     private final Set<String> tried = new HashSet<>();
     private Admitted admitted;
     private ServiceDesk desk;
-    private long limitNanos;
+    private CallTimes times;
     private Optional<Timer> limitTimer = Optional.empty();
     private Optional<Attempt> attempt = Optional.empty();
     private int sent;
@@ -80,7 +77,7 @@
         admitted = ((CallFilters.Result.Passed) result).admitted();
         desk = gateway.desk(admitted.service());
         desk.budget().request(gateway.timers().nanoTime());
-        limitNanos = call.arrivedNanos() + limit().toNanos();
+        times = CallTimes.of(call, admitted.route());
         limitTimer = Optional.of(gateway.timers().schedule(timeLeft(), this::limitReached));
         place();
     }
@@ -168,7 +165,7 @@
     }
 
     Duration timeLeft() {
-        return Duration.ofNanos(Math.max(0, limitNanos - gateway.timers().nanoTime()));
+        return times.left(gateway.timers().nanoTime());
     }
 
     /** Takes in that the answer has been passed on whole. */
@@ -231,14 +228,6 @@
         return new Forwarding(upstreamId, organisation, timeLeft(), exactVersion, lastEventId);
     }
 
-    private Duration limit() {
-        Duration timeout = admitted.route().timeout();
-        return call.head()
-                .timeLeft()
-                .filter(left -> left.compareTo(timeout) < 0)
-                .orElse(timeout);
-    }
-
     private Progress progress() {
         boolean budget = desk.budget().left(gateway.nodes()) >= 1;
         boolean time = timeLeft().compareTo(LEAST_TIME_FOR_REPEAT) > 0;
@@ -253,7 +242,7 @@
     }
 
     private Choice choose() {
-        boolean late = gateway.timers().nanoTime() - onTimeNanos() >= 0;
+        boolean late = times.isLate(gateway.timers().nanoTime());
         return gateway.choose(admitted.service(), call.head().prompt(), tried, late);
     }
 
@@ -266,9 +255,9 @@
         if (choice instanceof Choice.Chosen chosen) {
             send(chosen);
         } else if (choice instanceof Choice.Full) {
-            await(Math.max(LEAST_WAIT.toNanos(), fullWaitNanos()));
+            await(times.waitForPlaceUntil());
         } else if (choice instanceof Choice.Coming) {
-            await((long) (limit().toNanos() * COMING_WAIT_SHARE));
+            await(times.waitForEnginesUntil());
         } else {
             String detail = ((Choice.Nowhere) choice).detail();
             refuse(
@@ -279,29 +268,11 @@
         }
     }
 
-    /** A wait is of use as long as the answer can still begin on time afterwards. */
-    private long fullWaitNanos() {
-        return onTimeNanos() - call.arrivedNanos() - FIRST_EVENT_TAKES.toNanos();
-    }
-
-    /** Until when it can be on time: a caller that comes back has less time left than the route gives. */
-    private long onTimeNanos() {
-        Duration timeout = admitted.route().timeout();
-        Duration spent = call.head()
-                .timeLeft()
-                .filter(left -> left.compareTo(timeout) < 0)
-                .map(timeout::minus)
-                .orElse(Duration.ZERO);
-        return call.arrivedNanos()
-                - spent.toNanos()
-                + admitted.route().targetLatency().toNanos();
-    }
-
-    private void await(long waitNanos) {
-        long now = gateway.timers().nanoTime();
-        long since = call.arrivedNanos();
-        long until = Math.min(limitNanos, Math.max(now, since + waitNanos));
-        if (until - now <= 0 || !desk.waiting().offer(this, admitted.priority(), since, onTimeNanos(), until)) {
+    private void await(long untilNanos) {
+        boolean kept = untilNanos - gateway.timers().nanoTime() > 0
+                && desk.waiting()
+                        .offer(this, admitted.priority(), call.arrivedNanos(), times.onTimeNanos(), untilNanos);
+        if (!kept) {
             refuse(mayHaveRun ? unknown("no place for another try") : full());
             return;
         }
