Give the way through a version's chunks a class of its own

Behaviour is unchanged but for one thing: failures in a row are counted for each pass, not across them. Tests: ModelKeeperTest as before.

--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -1,10 +1,7 @@
 package org.galenahinge.supply;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
@@ -22,19 +19,15 @@
  * <p>What lies beside the engine may rot at any time, so chunks are read back again when the order has to wait.
  */
 public final class ModelKeeper {
-    private static final int CHUNKS_AT_ONCE = 3;
     private static final Duration VERIFIED_FOR = Duration.ofMillis(1_200);
-    private static final Duration RETRY = Duration.ofMillis(80);
     private static final Duration RESERVE = Duration.ofMillis(950);
     private static final Duration ORDER_EFFECT_WITHIN = Duration.ofSeconds(2);
     private static final Duration QUIESCE = Duration.ofMillis(60);
 
     private final EngineControl engine;
-    private final Function<Integer, Optional<WeightsSource>> sources;
+    private final ChunkPass.Means chunks;
     private final Timers timers;
     private final EventLog log;
-    private final Counter fetched;
-    private final Counter spoilt;
     private final Duration versionWithin;
     private Runnable loadingBegins = () -> {};
     private Optional<WeightsDigests> wanted = Optional.empty();
@@ -44,30 +37,11 @@
     private long planNanos;
     private Optional<Long> turnNanos = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
-    private Optional<Pass> pass = Optional.empty();
+    private Optional<ChunkPass> pass = Optional.empty();
     private boolean loading;
     private Optional<HeldWeights> ordered = Optional.empty();
     private long orderedNanos;
-    private int failures;
-
-    /** One way through all chunks: each is read back, and fetched where it does not agree. */
-    private static final class Pass {
-        private final WeightsDigests digests;
-        private final long bornMillis;
-        private final long startedNanos;
-        private final Deque<Integer> left = new ArrayDeque<>();
-        private int underWay;
-        private int fetched;
-
-        Pass(WeightsDigests digests, long bornMillis, long startedNanos) {
-            this.digests = digests;
-            this.bornMillis = bornMillis;
-            this.startedNanos = startedNanos;
-            for (int number = 0; number < digests.size(); number++) {
-                left.add(number);
-            }
-        }
-    }
+    private long passBornMillis;
 
     private ModelKeeper(
             EngineControl engine,
@@ -77,12 +51,16 @@
             EventLog log,
             MetricRegistry metrics) {
         this.engine = engine;
-        this.sources = sources;
         this.versionWithin = versionWithin;
         this.timers = timers;
         this.log = log;
-        this.fetched = metrics.counter("weights.chunks.fetched");
-        this.spoilt = metrics.counter("weights.chunks.spoilt");
+        this.chunks = new ChunkPass.Means(
+                engine,
+                sources,
+                timers,
+                log,
+                metrics.counter("weights.chunks.fetched"),
+                metrics.counter("weights.chunks.spoilt"));
     }
 
     /**
@@ -144,7 +122,6 @@
         }
         wanted = Optional.of(digests);
         wantedSinceNanos = timers.nanoTime() - age.toNanos();
-        failures = 0;
         turnNanos = Optional.empty();
         log.event(Category.BELIEF, "weights_wanted")
                 .with("model", digests.weights().model())
@@ -243,7 +220,7 @@
             return;
         }
         boolean current =
-                pass.filter(known -> known.digests.equals(wanted.get())).isPresent();
+                pass.filter(known -> known.digests().equals(wanted.get())).isPresent();
         if (current) {
             return;
         }
@@ -251,97 +228,23 @@
     }
 
     private void begin() {
-        Pass next = new Pass(wanted.orElseThrow(), report.orElseThrow().bornMillis(), timers.nanoTime());
+        passBornMillis = report.orElseThrow().bornMillis();
+        ChunkPass next = new ChunkPass(wanted.orElseThrow(), chunks, this::isCurrent, this::passed);
         pass = Optional.of(next);
-        advance(next);
+        next.begin();
     }
 
-    private boolean isCurrent(Pass one) {
+    private boolean isCurrent(ChunkPass one) {
         return pass.filter(known -> known == one).isPresent()
-                && wanted.filter(known -> known.equals(one.digests)).isPresent();
-    }
-
-    private void advance(Pass one) {
-        while (isCurrent(one) && one.underWay < CHUNKS_AT_ONCE && !one.left.isEmpty()) {
-            one.underWay++;
-            checkStaged(one, one.left.poll());
-        }
-        if (isCurrent(one) && one.underWay == 0 && one.left.isEmpty()) {
-            passed(one);
-        }
-    }
-
-    private void checkStaged(Pass one, int number) {
-        engine.staged(one.digests.weights().model(), number).whenComplete((content, error) -> {
-            if (error != null) {
-                again(one, number, "staged chunk " + number + ": " + error.getMessage());
-            } else if (content.isPresent() && one.digests.isIntact(number, content.get())) {
-                done(one);
-            } else {
-                fetch(one, number);
-            }
-        });
-    }
-
-    private void fetch(Pass one, int number) {
-        Optional<WeightsSource> source = isCurrent(one) ? sources.apply(failures) : Optional.empty();
-        if (source.isEmpty()) {
-            again(one, number, "no source for chunk " + number);
-            return;
-        }
-        source.get().chunk(one.digests.weights(), number).whenComplete((content, error) -> {
-            if (error != null) {
-                again(one, number, "chunk " + number + " from " + source.get().name() + ": " + error.getMessage());
-            } else if (!one.digests.isIntact(number, content)) {
-                spoilt.inc();
-                again(one, number, "chunk " + number + " from " + source.get().name() + " is spoilt");
-            } else {
-                stage(one, number, content);
-            }
-        });
-    }
-
-    private void stage(Pass one, int number, byte[] content) {
-        if (!isCurrent(one)) {
-            return;
-        }
-        engine.stage(one.digests.weights().model(), number, content).whenComplete((nothing, error) -> {
-            if (error != null) {
-                again(one, number, "staging chunk " + number + ": " + error.getMessage());
-                return;
-            }
-            failures = 0;
-            one.fetched++;
-            fetched.inc();
-            done(one);
-        });
-    }
-
-    private void done(Pass one) {
-        one.underWay--;
-        advance(one);
-    }
-
-    private void again(Pass one, int number, String detail) {
-        failures++;
-        log.event(Category.FAILURE, "weights_step_failed")
-                .with("version", one.digests.weights().version())
-                .with("failures", failures)
-                .with("detail", detail)
-                .write();
-        timers.schedule(RETRY, () -> {
-            one.left.addFirst(number);
-            done(one);
-        });
+                && wanted.filter(known -> known.equals(one.digests())).isPresent();
     }
 
     /** All chunks agreed when they were read or laid; what was fetched in this pass is read back before it counts. */
-    private void passed(Pass one) {
-        Duration took = Duration.ofNanos(timers.nanoTime() - one.startedNanos);
-        if (one.fetched > 0 || took.compareTo(VERIFIED_FOR) > 0) {
+    private void passed(ChunkPass one) {
+        if (one.fetched() > 0 || one.took().compareTo(VERIFIED_FOR) > 0) {
             log.event(Category.BELIEF, "weights_staged")
-                    .with("version", one.digests.weights().version())
-                    .with("fetched", one.fetched)
+                    .with("version", one.digests().weights().version())
+                    .with("fetched", one.fetched())
                     .with("after_ms", millisSince(wantedSinceNanos))
                     .write();
             awaitTurn(this::begin);
@@ -371,7 +274,7 @@
                 .orElse(Duration.ZERO);
     }
 
-    private void order(Pass one) {
+    private void order(ChunkPass one) {
         if (!isCurrent(one)) {
             return;
         }
@@ -381,13 +284,13 @@
         timers.schedule(QUIESCE, () -> orderNow(one));
     }
 
-    private void orderNow(Pass one) {
-        if (!isCurrent(one) || report.isEmpty() || report.get().bornMillis() != one.bornMillis) {
+    private void orderNow(ChunkPass one) {
+        if (!isCurrent(one) || report.isEmpty() || report.get().bornMillis() != passBornMillis) {
             loading = false;
             pass = Optional.empty();
             return;
         }
-        HeldWeights weights = one.digests.weights();
+        HeldWeights weights = one.digests().weights();
         long expected = report.get().orders();
         ordered = Optional.of(weights);
         orderedNanos = timers.nanoTime();
