Tell all entries at once that an engine stops for loading, and leave more time before a version's bound

Now every entry is told before the order, and entries turn to the new version 1.5 s before the bound, engines 1.4 s.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -33,7 +33,7 @@
 public final class Gateway {
     private static final int WAITING_CAPACITY = 256;
     private static final Duration SWEEP_EVERY = Duration.ofMillis(20);
-    private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
+    private static final Duration VERSION_MARGIN = Duration.ofMillis(1_500);
 
     private final GatewaySettings settings;
     private final FleetFacts facts;
--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -34,7 +34,7 @@
     private static final Duration FAR_REPORT_EVERY = Duration.ofMillis(400);
     private static final Duration ASK_WAIT = Duration.ofMillis(700);
     private static final Duration ASK_RETRY = Duration.ofMillis(200);
-    private static final int MOST_FAR_ENTRIES = 6;
+    private static final int MOST_FAR_ENTRIES = 16;
 
     private volatile NodeSettings settings;
     private final String service;
@@ -72,7 +72,7 @@
         this.upstream = settings.upstream().orElseThrow();
         this.engine = platform.engine(threads, upstream);
         this.keeper = ModelKeeper.create(engine, this::source, settings.bounds().versionWithin(), timers, log, metrics);
-        keeper.onLoading(() -> last.ifPresent(this::tell));
+        keeper.onLoading(this::tellAll);
     }
 
     /**
@@ -189,6 +189,12 @@
         log.event(Category.LIFECYCLE, "engine_lost").with("detail", detail).write();
     }
 
+    /** An engine that stops for loading must get no more requests from anybody: they would wait until it is done. */
+    private void tellAll() {
+        nextFarNanos = timers.nanoTime();
+        last.ifPresent(this::tell);
+    }
+
     /** Tells the entries of the own failure domain often, and some of the others now and then. */
     private void tell(EngineReport report) {
         double layers = Math.max(1, report.layers());
--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -20,9 +20,9 @@
  */
 public final class ModelKeeper {
     private static final Duration VERIFIED_FOR = Duration.ofMillis(1_200);
-    private static final Duration RESERVE = Duration.ofMillis(950);
+    private static final Duration RESERVE = Duration.ofMillis(1_400);
     private static final Duration ORDER_EFFECT_WITHIN = Duration.ofSeconds(2);
-    private static final Duration QUIESCE = Duration.ofMillis(60);
+    private static final Duration QUIESCE = Duration.ofMillis(100);
 
     private final EngineControl engine;
     private final ChunkPass.Means chunks;
