Remove what nothing calls

CallerConnection.unread, Gateway.begin and HttpConnection.localAddress were written and never used. Seen and left: three tables of requests that wait with a timer (FactRelay, WeightsDesk, WeightsLibrary) want one class, Exchange wants HttpConnection beneath it, GatewaySettings.stopWithin is read by nobody.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -29,7 +29,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.galenahinge.catalog.CallerLimits;
@@ -380,9 +379,4 @@
             }
         }
     }
-
-    /** Requests that were read ahead and not begun. */
-    List<HttpObject> unread() {
-        return List.copyOf(ahead);
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -149,19 +149,6 @@
         serveWaiting();
     }
 
-    /**
-     * Begins to forward a request.
-     *
-     * @param call the request
-     * @param reply takes its answer
-     * @return the request under way
-     */
-    ForwardedCall begin(Call call, CallerReply reply) {
-        ForwardedCall forwarded = new ForwardedCall(this, call, reply);
-        forwarded.begin();
-        return forwarded;
-    }
-
     /** Says that the process is stopping: long answers are no longer begun near its end. */
     public void stop() {
         stopping = true;
--- a/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
@@ -189,15 +189,6 @@
         channel.config().setAutoRead(reading);
     }
 
-    /**
-     * Returns the network address of the own side.
-     *
-     * @return the address, for log lines
-     */
-    public String localAddress() {
-        return String.valueOf(channel.localAddress());
-    }
-
     private void received(HttpObject message) {
         if (listener == null) {
             // Bytes that no request asked for: whatever follows on this connection cannot be trusted.
