Take only a part of an engine's free places between two reports

At 26.2 s the first engines hold version 2, and each of the 8 entries sent them what had waited, as if all 16 places were free for it alone. What went beyond the places waited in the engine and began on version 2 after 28.0 s. Change: between two reports an entry sends no more than the free places shown there, divided by the entries known, one at the least. PlacementTest holds that 1, 4, 8 and 16 entries together send no more than there are places; it failed before (16 times as many).

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -67,7 +67,7 @@
         this.log = log;
         this.metrics = new GatewayMetrics(registry);
         this.nodes = nodes;
-        this.placement = Placement.create(settings.zone(), seed);
+        this.placement = Placement.create(settings.zone(), nodes, seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         registry.gauge("upstream.known", () -> upstreams::size);
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.IntSupplier;
 import org.galenahinge.catalog.EngineFigures;
 
 /**
@@ -21,10 +22,12 @@
     private static final int PLAIN_PLACES_SHARED_BY = 3;
 
     private final String zone;
+    private final IntSupplier nodes;
     private final Random random;
 
-    private Placement(String zone, Random random) {
+    private Placement(String zone, IntSupplier nodes, Random random) {
         this.zone = zone;
+        this.nodes = nodes;
         this.random = random;
     }
 
@@ -32,11 +35,14 @@
      * Creates a placement.
      *
      * @param zone the failure domain of the own VM
+     * @param nodes how many nodes choose among the same upstreams, the own one included
      * @param seed the seed of what is random
      * @return the placement
      */
-    public static Placement create(String zone, long seed) {
-        return new Placement(Objects.requireNonNull(zone, "zone"), new Random(seed));
+    public static Placement create(String zone, IntSupplier nodes, long seed) {
+        Objects.requireNonNull(zone, "zone");
+        Objects.requireNonNull(nodes, "nodes");
+        return new Placement(zone, nodes, new Random(seed));
     }
 
     /**
@@ -127,7 +133,7 @@
         return rightModel && weights.get().version() >= demand.leastVersion().orElse(0);
     }
 
-    private static boolean hasPlace(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
+    private boolean hasPlace(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
         if (candidate.load().isResting(nowNanos)) {
             return false;
         }
@@ -142,7 +148,9 @@
         double context = report.map(UpstreamLoad.LoadReport::contextTokens).orElse(0.0);
         long wanted = demand.prompt().map(PromptShape::totalTokens).orElse(0L);
         int kept = demand.late() ? PLACES_KEPT_FROM_LATE : 0;
-        return candidate.load().allCalls(nowNanos) < engine.get().slots() - kept
+        int slots = engine.get().slots();
+        return candidate.load().allCalls(nowNanos) < slots - kept
+                && candidate.load().hasShareLeft(slots, nodes.getAsInt(), nowNanos)
                 && context + wanted <= engine.get().memoryTokens();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -28,6 +28,7 @@
     private Optional<LoadReport> report = Optional.empty();
     private long reportNanos;
     private int ownAtReport;
+    private int sentSinceReport;
     private double stayMillis = DEFAULT_STAY_MILLIS;
     private int failuresInRow;
     private long restUntilNanos = Long.MIN_VALUE / 2;
@@ -79,6 +80,7 @@
         report = Optional.of(newReport);
         reportNanos = nowNanos;
         ownAtReport = own.size();
+        sentSinceReport = 0;
     }
 
     /**
@@ -121,6 +123,7 @@
      */
     public void sent(Object call, int promptTokens, long nowNanos) {
         own.put(call, new OwnCall(promptTokens, nowNanos, true));
+        sentSinceReport++;
     }
 
     /**
@@ -225,6 +228,22 @@
                         .orElse(0);
     }
 
+    /**
+     * Tells whether this node may still take one of the places that the last report showed free. All nodes see the same
+     * free places, so each takes only its part until the next report.
+     *
+     * @param slots how many requests the upstream works on at once
+     * @param nodes how many nodes send to it
+     * @param nowNanos the time, in nanoseconds
+     * @return whether the part is not yet used up; also true while no report is fresh
+     */
+    public boolean hasShareLeft(int slots, int nodes, long nowNanos) {
+        return report(nowNanos)
+                .map(known -> (slots - known.running() - known.waiting()) / Math.max(1, nodes))
+                .map(share -> sentSinceReport < Math.max(1, share))
+                .orElse(true);
+    }
+
     /**
      * Describes the engine's work for a prediction.
      *
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -23,7 +23,7 @@
     private static final long NOW = 100_000_000_000L;
     private static final long LONG_AGO = 50_000_000_000L;
 
-    private final Placement placement = Placement.create("a", 1);
+    private final Placement placement = Placement.create("a", () -> 1, 1);
 
     @Test
     void prefersTheOwnFailureDomainWhileItIsAsGood() {
@@ -119,6 +119,26 @@
         assertThat(choose(candidates, demand)).isEqualTo(new Choice.Coming(1));
     }
 
+    /**
+     * The first engine with new weights, for which requests wait at all entries: what all of them send before they hear
+     * again does not exceed its places, so that nothing waits there until its time for these weights is over.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 8, 16})
+    void takesOnlyItsPartOfTheFreePlacesBetweenTwoReports(int entries) {
+        int sent = 0;
+        for (int entry = 0; entry < entries; entry++) {
+            Placement own = Placement.create("a", () -> entries, entry);
+            Candidate first = engine("first", "a", 1);
+            first.load().reported(new LoadReport(0, 0, 0, 1, false, Optional.empty(), held(1)), NOW);
+            while (own.choose(List.of(first), Optional.of(FIGURES), demand(500), NOW) instanceof Choice.Chosen) {
+                first.load().sent(new Object(), 500, NOW);
+                sent++;
+            }
+        }
+        assertThat(sent).isEqualTo(FIGURES.slots());
+    }
+
     private String chosen(List<Candidate> candidates, Demand demand) {
         return ((Choice.Chosen) choose(candidates, demand))
                 .candidate()
