Let one class tell the entries what an engine does

Change: LoadAnnouncer, taken out of SlotNode, tells near entries with each report, 16 of the others every 400 ms, and before an order all of them.

--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -14,7 +14,6 @@
 import org.galenahinge.http.HttpServer;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
-import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.supply.EngineControl;
 import org.galenahinge.supply.EngineControl.EngineReport;
 import org.galenahinge.supply.ModelKeeper;
@@ -31,10 +30,8 @@
  */
 public final class SlotNode {
     private static final Duration REPORT_EVERY = Duration.ofMillis(100);
-    private static final Duration FAR_REPORT_EVERY = Duration.ofMillis(400);
     private static final Duration ASK_WAIT = Duration.ofMillis(700);
     private static final Duration ASK_RETRY = Duration.ofMillis(200);
-    private static final int MOST_FAR_ENTRIES = 16;
 
     private volatile NodeSettings settings;
     private final String service;
@@ -46,9 +43,8 @@
     private final EngineControl engine;
     private final ModelKeeper keeper;
     private final WireAddress upstream;
+    private final LoadAnnouncer announcer;
     private DatagramNetwork datagrams;
-    private Optional<EngineReport> last = Optional.empty();
-    private long nextFarNanos;
     private int askFailures;
     private boolean engineLost;
     private String engineFault = "";
@@ -72,7 +68,8 @@
         this.upstream = settings.upstream().orElseThrow();
         this.engine = platform.engine(threads, upstream);
         this.keeper = ModelKeeper.create(engine, this::source, settings.bounds().versionWithin(), timers, log, metrics);
-        keeper.onLoading(this::tellAll);
+        this.announcer = LoadAnnouncer.create(settings.zone(), upstream, roster, keeper, this::send, timers);
+        keeper.onLoading(announcer::tellAll);
     }
 
     /**
@@ -173,13 +170,11 @@
             engineLost = false;
             log.event(Category.LIFECYCLE, "engine_regained").write();
         }
-        last = Optional.of(report);
         keeper.reported(report);
-        tell(report);
+        announcer.reported(report);
     }
 
     private void engineFailed(Throwable error) {
-        last = Optional.empty();
         String detail = String.valueOf(error.getMessage());
         if (engineLost && detail.equals(engineFault)) {
             return;
@@ -189,36 +184,8 @@
         log.event(Category.LIFECYCLE, "engine_lost").with("detail", detail).write();
     }
 
-    /** An engine that stops for loading must get no more requests from anybody: they would wait until it is done. */
-    private void tellAll() {
-        nextFarNanos = timers.nanoTime();
-        last.ifPresent(this::tell);
-    }
-
-    /** Tells the entries of the own failure domain often, and some of the others now and then. */
-    private void tell(EngineReport report) {
-        double layers = Math.max(1, report.layers());
-        LoadReport load = new LoadReport(
-                report.running(),
-                report.waiting(),
-                report.contextUsed() / layers,
-                report.pace(),
-                keeper.isLoading(),
-                keeper.untilLoad(),
-                report.weights());
-        byte[] datagram = LoadCodec.write(new LoadCodec.Load(upstream, report.bornMillis(), load));
-        List<NodeCard> entries = roster.nearestFirst();
-        boolean far = timers.nanoTime() - nextFarNanos >= 0;
-        int farSent = 0;
-        for (NodeCard entry : entries) {
-            boolean near = entry.zone().equals(settings.zone());
-            if (near || (far && farSent++ < MOST_FAR_ENTRIES)) {
-                datagrams.send(new WireAddress(entry.address(), settings.loadPort()), datagram);
-            }
-        }
-        if (far) {
-            nextFarNanos = timers.nanoTime() + FAR_REPORT_EVERY.toNanos();
-        }
+    private void send(NodeCard entry, byte[] datagram) {
+        datagrams.send(new WireAddress(entry.address(), settings.loadPort()), datagram);
     }
 
     private void askEntry() {
--- a/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ModelKeeper.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
@@ -29,7 +30,7 @@
     private final Timers timers;
     private final EventLog log;
     private final Duration versionWithin;
-    private Runnable loadingBegins = () -> {};
+    private Consumer<EngineReport> loadingBegins = state -> {};
     private Optional<WeightsDigests> wanted = Optional.empty();
     private long wantedSinceNanos;
     private long newestNamed;
@@ -93,9 +94,9 @@
     /**
      * Sets what runs just before the engine is ordered to load, so that it gets no new requests.
      *
-     * @param action the action
+     * @param action takes the engine's last known state
      */
-    public void onLoading(Runnable action) {
+    public void onLoading(Consumer<EngineReport> action) {
         loadingBegins = Objects.requireNonNull(action, "action");
     }
 
@@ -280,7 +281,7 @@
         }
         loading = true;
         ordered = Optional.empty();
-        loadingBegins.run();
+        loadingBegins.accept(report.orElseThrow());
         timers.schedule(QUIESCE, () -> orderNow(one));
     }
 
