--- a/galenahinge/src/main/java/org/galenahinge/cli/CommandLine.java
+++ b/galenahinge/src/main/java/org/galenahinge/cli/CommandLine.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.URI;
 import java.nio.charset.CharacterCodingException;
@@ -10,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +25,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.galenahinge.history.LogLine;
+import org.galenahinge.history.RequestHistory;
 import org.galenahinge.log.Decision;
 import org.galenahinge.operations.Explanation;
 import org.galenahinge.operations.FleetView;
@@ -50,12 +56,15 @@
     private static final Duration POLL = Duration.ofMillis(250);
     private static final int BAR_WIDTH = 40;
 
+    private final InputStream input;
     private final PrintStream out;
     private final PrintStream errors;
     private final Map<String, String> environment;
     private final boolean terminal;
 
-    CommandLine(PrintStream out, PrintStream errors, Map<String, String> environment, boolean terminal) {
+    CommandLine(
+            InputStream input, PrintStream out, PrintStream errors, Map<String, String> environment, boolean terminal) {
+        this.input = Objects.requireNonNull(input, "input");
         this.out = Objects.requireNonNull(out, "out");
         this.errors = Objects.requireNonNull(errors, "errors");
         this.environment = Map.copyOf(environment);
@@ -69,7 +78,7 @@
      */
     public static void main(String[] arguments) {
         boolean terminal = "true".equals(System.getenv(TERMINAL_VARIABLE));
-        System.exit(new CommandLine(System.out, System.err, System.getenv(), terminal).run(arguments));
+        System.exit(new CommandLine(System.in, System.out, System.err, System.getenv(), terminal).run(arguments));
     }
 
     int run(String... arguments) {
@@ -120,10 +129,12 @@
         Subparser model = commands.addParser("model").help("show how far a model version is");
         model.addArgument("model").help("name of the model");
         model.addArgument("version").help("its version");
-        commands.addParser("explain")
-                .help("list the decisions taken for a request")
-                .addArgument("requestId")
-                .help("identity of the request");
+        Subparser explain = commands.addParser("explain").help("list the decisions taken for a request");
+        explain.addArgument("requestId").help("identity of the request");
+        explain.addArgument("--logs")
+                .nargs("+")
+                .metavar("FILE")
+                .help("read these logs in place of asking entries; - is the standard input");
         return parser;
     }
 
@@ -137,7 +148,10 @@
             case "fleet" -> fleet(client(arguments), json);
             case "model" ->
                 model(client(arguments), arguments.getString("model"), arguments.getString("version"), json);
-            default -> explain(client(arguments), arguments.getString("requestId"), json);
+            default ->
+                arguments.getList("logs") == null
+                        ? explain(client(arguments), arguments.getString("requestId"), json)
+                        : explainLogs(arguments.getList("logs"), arguments.getString("requestId"), json);
         };
     }
 
@@ -292,6 +306,71 @@
         return explanation.decisions().isEmpty() ? NOT_YET : DONE;
     }
 
+    private int explainLogs(List<String> files, String requestId, boolean json) throws IOException {
+        RequestHistory.Gatherer gatherer = RequestHistory.of(requestId);
+        for (String file : files) {
+            readLog(file, gatherer);
+        }
+        RequestHistory history = gatherer.finish();
+        if (history.cause().isEmpty()) {
+            out.println("no log has a line of request " + requestId);
+            return NOT_YET;
+        }
+        if (json) {
+            print(new ExplainedRequest(requestId, history.cause().get(), history.own(), history.surroundings()));
+            return DONE;
+        }
+        out.println(history.cause().get());
+        out.println();
+        out.print(table(history.own()));
+        if (!history.surroundings().isEmpty()) {
+            out.println();
+            out.println("around that time:");
+            out.print(table(history.surroundings()));
+        }
+        return DONE;
+    }
+
+    private record ExplainedRequest(String request, String cause, List<LogLine> lines, List<LogLine> surroundings) {}
+
+    private void readLog(String file, RequestHistory.Gatherer gatherer) throws IOException {
+        if (file.equals("-")) {
+            gather(input, gatherer);
+            return;
+        }
+        Path path = Path.of(file);
+        if (!Files.isReadable(path) || Files.isDirectory(path)) {
+            throw new IllegalArgumentException("--logs: '" + file + "' cannot be read");
+        }
+        try (InputStream stream = Files.newInputStream(path)) {
+            gather(stream, gatherer);
+        }
+    }
+
+    /** A log may hold bytes that are no text; they must not hide the lines beside them. */
+    private static void gather(InputStream stream, RequestHistory.Gatherer gatherer) throws IOException {
+        BufferedReader reader = new BufferedReader(new InputStreamReader(stream, StandardCharsets.UTF_8));
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            gatherer.add(line);
+        }
+    }
+
+    private static String table(List<LogLine> lines) {
+        Table table = Table.withColumns("AT", "NODE", "EVENT", "FIELDS");
+        for (LogLine line : lines) {
+            StringBuilder fields = new StringBuilder();
+            line.fields()
+                    .forEach((name, value) ->
+                            fields.append(name).append('=').append(value).append(' '));
+            table.row(
+                    Instant.ofEpochMilli(line.atMillis()).toString(),
+                    line.node(),
+                    line.event(),
+                    fields.toString().strip());
+        }
+        return table.render();
+    }
+
     private void print(Object document) {
         try {
             out.println(JSON.writerWithDefaultPrettyPrinter().writeValueAsString(document));
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -137,15 +137,7 @@
      * @param report what it says
      */
     public void reported(WireAddress address, long bornMillis, LoadReport report) {
-        Optional<Candidate> candidate = upstreams.at(address);
-        if (candidate.isEmpty()) {
-            return;
-        }
-        long born = candidate.get().upstream().bornMillis();
-        if (born != 0 && bornMillis != 0 && born != bornMillis) {
-            return;
-        }
-        candidate.get().load().reported(report, timers.nanoTime());
+        upstreams.reported(address, bornMillis, report);
         serveWaiting();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamTable.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamTable.java
@@ -14,6 +14,7 @@
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.placement.Candidate;
 import org.galenahinge.placement.UpstreamLoad;
+import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
@@ -24,7 +25,7 @@
     private final Timers timers;
     private final Counter opened;
     private final Map<String, Entry> byId = new HashMap<>();
-    private final Map<WireAddress, Entry> byAddress = new HashMap<>();
+    private final Map<WireAddress, List<Entry>> byAddress = new HashMap<>();
     private final Map<String, List<Candidate>> byService = new HashMap<>();
 
     private record Entry(Upstream upstream, UpstreamLoad load, UpstreamPool pool) {}
@@ -44,7 +45,9 @@
             present.add(upstream.id());
             Entry entry = next(upstream);
             byId.put(upstream.id(), entry);
-            byAddress.put(upstream.address(), entry);
+            byAddress
+                    .computeIfAbsent(upstream.address(), address -> new ArrayList<>())
+                    .add(entry);
             byService
                     .computeIfAbsent(upstream.service(), service -> new ArrayList<>())
                     .add(new Candidate(upstream, entry.load()));
@@ -66,8 +69,20 @@
         return Optional.ofNullable(byId.get(id)).map(Entry::pool);
     }
 
-    Optional<Candidate> at(WireAddress address) {
-        return Optional.ofNullable(byAddress.get(address)).map(entry -> new Candidate(entry.upstream(), entry.load()));
+    /**
+     * Takes in what a slot process says of the upstream at an address. The store may still hold an entry of an earlier
+     * life there: its server is gone.
+     */
+    void reported(WireAddress address, long bornMillis, LoadReport report) {
+        long now = timers.nanoTime();
+        for (Entry entry : byAddress.getOrDefault(address, List.of())) {
+            long known = entry.upstream().bornMillis();
+            if (known == 0 || bornMillis == 0 || known == bornMillis) {
+                entry.load().reported(report, now);
+            } else {
+                entry.load().otherLifeReported(now);
+            }
+        }
     }
 
     int size() {
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -89,11 +89,15 @@
         return coming > 0 ? new Choice.Coming(coming) : new Choice.Nowhere(nowhere(candidates, demand));
     }
 
-    /** An engine that loads, or that this node knows only by an entry in the store so far, is ready within a second or two. */
+    /**
+     * An engine that loads, that this node knows only by an entry in the store so far, or that has just started again, is
+     * ready within a second or two.
+     */
     private static boolean isComing(Candidate candidate, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
         boolean fits = demand.prompt().map(PromptShape::totalTokens).orElse(0L)
                 <= engine.map(EngineFigures::memoryTokens).orElse(0L);
         boolean soon = candidate.load().isUnproven(nowNanos)
+                || candidate.load().isReplaced(nowNanos)
                 || candidate
                         .load()
                         .report(nowNanos)
@@ -114,6 +118,7 @@
             return true;
         }
         return !candidate.load().isUnproven(nowNanos)
+                && !candidate.load().isReplaced(nowNanos)
                 && holdsWeights(candidate, demand, nowNanos)
                 && demand.prompt().map(PromptShape::totalTokens).orElse(0L)
                         <= engine.get().memoryTokens();
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -27,6 +27,7 @@
     private final Map<Object, OwnCall> own = new LinkedHashMap<>();
     private Optional<LoadReport> report = Optional.empty();
     private long reportNanos;
+    private Optional<Long> otherLifeNanos = Optional.empty();
     private int ownAtReport;
     private int sentSinceReport;
     private double stayMillis = DEFAULT_STAY_MILLIS;
@@ -78,11 +79,34 @@
      */
     public void reported(LoadReport newReport, long nowNanos) {
         report = Optional.of(newReport);
+        otherLifeNanos = Optional.empty();
         reportNanos = nowNanos;
         ownAtReport = own.size();
         sentSinceReport = 0;
     }
 
+    /**
+     * Takes in that another life of the upstream runs at its address.
+     *
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void otherLifeReported(long nowNanos) {
+        otherLifeNanos = Optional.of(nowNanos);
+    }
+
+    /**
+     * Tells whether another life runs at the upstream's address, so that this one is gone, though the store may still
+     * hold its entry and not yet that of the new one.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return whether requests sent to it would only be refused
+     */
+    public boolean isReplaced(long nowNanos) {
+        return otherLifeNanos
+                .filter(heard -> nowNanos - heard < REPORT_VALID.toNanos())
+                .isPresent();
+    }
+
     /**
      * Returns the last report.
      *
--- a/galenahinge/src/test/java/org/galenahinge/cli/CommandLineTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/cli/CommandLineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -16,9 +17,13 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class CommandLineTest {
+    private static final String REFUSED =
+            "{\"at\":5,\"node\":\"n\",\"event\":\"refused\",\"request\":\"r1\",\"status\":503,\"reason\":\"full\"}\n";
+
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
     private final CommandLine commandLine = new CommandLine(
+            new ByteArrayInputStream(REFUSED.getBytes(StandardCharsets.UTF_8)),
             new PrintStream(out, true, StandardCharsets.UTF_8),
             new PrintStream(errors, true, StandardCharsets.UTF_8),
             Map.of("GALENAHINGE_ENTRIES", "http://127.0.0.1:1"),
@@ -50,6 +55,19 @@
         assertThat(errors.toString(StandardCharsets.UTF_8)).contains("UTF-8");
     }
 
+    @Test
+    void explainsARequestFromLogs() throws IOException {
+        Path log = Files.writeString(folder.resolve("n.log"), "n | not a line\n" + REFUSED);
+
+        assertThat(commandLine.run("explain", "r1", "--logs", log.toString())).isEqualTo(CommandLine.DONE);
+        assertThat(commandLine.run("--output", "json", "explain", "r1", "--logs", "-"))
+                .isEqualTo(CommandLine.DONE);
+        assertThat(commandLine.run("explain", "r2", "--logs", log.toString())).isEqualTo(CommandLine.NOT_YET);
+        assertThat(commandLine.run("explain", "r1", "--logs", log + ".none")).isEqualTo(CommandLine.WRONG);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("--logs");
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("all places").contains("\"cause\"");
+    }
+
     @Test
     void saysWhenNoEntryAnswers() {
         assertThat(commandLine.run("fleet")).isEqualTo(CommandLine.NO_ANSWER);
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/UpstreamTableTest.java
@@ -0,0 +1,76 @@
+package org.galenahinge.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.Counter;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Optional;
+import org.galenahinge.concurrent.ManualTimers;
+import org.galenahinge.placement.UpstreamLoad;
+import org.galenahinge.placement.UpstreamLoad.LoadReport;
+import org.galenahinge.upstream.Upstream;
+import org.galenahinge.wire.WireAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class UpstreamTableTest {
+    private static final WireAddress ADDRESS = new WireAddress("10.0.0.1", 80);
+    private static final LoadReport REPORT = new LoadReport(3, 0, 0, 1, false, Optional.empty(), Optional.empty());
+
+    private final EventLoop loop = new DefaultEventLoop();
+    private final ManualTimers timers = new ManualTimers();
+    private final UpstreamTable table = new UpstreamTable(loop, timers, new Counter());
+
+    /** Both lives of an engine stand in the store for a moment, in any order: each word goes to its own. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void tellsTwoLivesAtOneAddressApart(boolean oldFirst) {
+        Upstream old = upstream("old", 100);
+        Upstream next = upstream("next", 200);
+        table.refresh(oldFirst ? List.of(old, next) : List.of(next, old));
+        table.reported(ADDRESS, 200, REPORT);
+        assertThat(load("old").isReplaced(timers.nanoTime())).isTrue();
+        assertThat(load("old").report(timers.nanoTime())).isEmpty();
+        assertThat(load("next").isReplaced(timers.nanoTime())).isFalse();
+        assertThat(load("next").report(timers.nanoTime())).contains(REPORT);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 100})
+    void takesWordOfALifeThatIsTheSameOrUnknown(long bornMillis) {
+        table.refresh(List.of(upstream("only", 100)));
+        table.reported(ADDRESS, bornMillis, REPORT);
+        assertThat(load("only").report(timers.nanoTime())).contains(REPORT);
+    }
+
+    @Test
+    void keepsWhatIsKnownOfALifeThatGoesOn() {
+        table.refresh(List.of(upstream("only", 100)));
+        table.reported(ADDRESS, 100, REPORT);
+        table.refresh(List.of(upstream("only", 100)));
+        assertThat(load("only").report(timers.nanoTime())).contains(REPORT);
+        table.refresh(List.of(upstream("only", 200)));
+        assertThat(load("only").report(timers.nanoTime())).isEmpty();
+    }
+
+    @AfterEach
+    void close() {
+        loop.shutdownGracefully();
+    }
+
+    private UpstreamLoad load(String id) {
+        return table.candidates("s").stream()
+                .filter(candidate -> candidate.upstream().id().equals(id))
+                .findFirst()
+                .orElseThrow()
+                .load();
+    }
+
+    private static Upstream upstream(String id, long bornMillis) {
+        return new Upstream(id, "s", ADDRESS, "a", 16, false, Optional.empty(), bornMillis, 1);
+    }
+}
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -109,6 +109,19 @@
         assertThat(choose(candidates, demand(500))).isInstanceOf(Choice.Chosen.class);
     }
 
+    /**
+     * All VMs lost power: the store still holds entries of engines that have started again under other names, and they
+     * would refuse whatever is meant for those. The new entries are a second away.
+     */
+    @Test
+    void waitsForTheEntryOfAnEngineThatHasStartedAgain() {
+        Candidate old = engine("old", "a", 1);
+        old.load().otherLifeReported(NOW);
+        assertThat(choose(List.of(old), demand(500))).isEqualTo(new Choice.Coming(1));
+        old.load().reported(new LoadReport(0, 0, 0, 1, false, Optional.empty(), held(1)), NOW);
+        assertThat(choose(List.of(old), demand(500))).isInstanceOf(Choice.Chosen.class);
+    }
+
     /** Engines without the wanted weights that do not load yet: a wait would be in vain. */
     @Test
     void saysAtOnceThatNobodyCanServeWhileNoEngineLoads() {
