Bring chunks into an entry only when somebody asks for them

Each entry that starts again copied all chunks, also while every engine held its version; and the entry that reads from the origin could stand in another region than the origin. Ruled out: slot processes that fetch twice (each fetched once). Change: WeightsLibrary reads the manifest at once, chunks once one of them is asked for; the reader stands beside the origin. A read that fails at once no longer starts the next one before its rest is over (a test that failed so ran out of memory). WeightsLibraryTest holds that nothing is read that nobody asks for, that an older version is offered while the newest stalls, and that a request before the manifest is not forgotten.

--- a/galenahinge/src/main/java/org/galenahinge/catalog/WeightsOrigin.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/WeightsOrigin.java
@@ -6,11 +6,12 @@
  * Where the weights of versions come from.
  *
  * @param address where it listens, as host and port
- * @param megabitsPerSecond what its link carries
+ * @param zone the failure domain that it stands in, empty where unknown
  */
-public record WeightsOrigin(String address, double megabitsPerSecond) {
+public record WeightsOrigin(String address, String zone) {
     /** Checks the parts. */
     public WeightsOrigin {
         Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(zone, "zone");
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import org.galenahinge.catalog.WeightsOrigin;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.daemon.Incarnation;
 import org.galenahinge.facts.Fact;
@@ -95,7 +96,7 @@
                 roster,
                 membership::isSettled,
                 threads,
-                this::originAddress,
+                this::origin,
                 address -> platform.origin(threads, address),
                 seed);
         WeightsLibrary library = WeightsLibrary.create(routes, timers, log, metrics);
@@ -262,10 +263,8 @@
         facts.apply(items, olderBy);
     }
 
-    private Optional<WireAddress> originAddress() {
-        return facts.catalog()
-                .flatMap(catalog -> catalog.origins().stream().findFirst())
-                .map(origin -> WireAddress.parse(origin.address()));
+    private Optional<WeightsOrigin> origin() {
+        return facts.catalog().flatMap(catalog -> catalog.origins().stream().findFirst());
     }
 
     private void factsChanged() {
--- a/galenahinge/src/main/java/org/galenahinge/node/WeightsRoutes.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsRoutes.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.galenahinge.catalog.WeightsOrigin;
 import org.galenahinge.supply.WeightsLibrary;
 import org.galenahinge.supply.WeightsSource;
 import org.galenahinge.wire.NetworkThreads;
@@ -25,7 +26,7 @@
     private final EntryRoster roster;
     private final BooleanSupplier settled;
     private final NetworkThreads threads;
-    private final Supplier<Optional<WireAddress>> originAddress;
+    private final Supplier<Optional<WeightsOrigin>> origin;
     private final Function<WireAddress, WeightsSource> originAt;
     private final Random random;
 
@@ -34,14 +35,14 @@
             EntryRoster roster,
             BooleanSupplier settled,
             NetworkThreads threads,
-            Supplier<Optional<WireAddress>> originAddress,
+            Supplier<Optional<WeightsOrigin>> origin,
             Function<WireAddress, WeightsSource> originAt,
             long seed) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.roster = Objects.requireNonNull(roster, "roster");
         this.settled = Objects.requireNonNull(settled, "settled");
         this.threads = Objects.requireNonNull(threads, "threads");
-        this.originAddress = Objects.requireNonNull(originAddress, "originAddress");
+        this.origin = Objects.requireNonNull(origin, "origin");
         this.originAt = Objects.requireNonNull(originAt, "originAt");
         this.random = new Random(seed);
     }
@@ -63,7 +64,7 @@
         if (failures >= FAILURES_BEFORE_OTHERS) {
             return anyOther();
         }
-        Optional<NodeCard> reader = EntryRoster.first(roster.up(), "origin " + model);
+        Optional<NodeCard> reader = reader(model);
         if (reader.isEmpty()) {
             return Optional.empty();
         }
@@ -74,6 +75,15 @@
         return importer.isEmpty() || isSelf(importer.get()) ? entry(reader.get()) : entry(importer.get());
     }
 
+    /** The entry that reads from the origin for all: one beside it, so that chunks cross to each other region only once. */
+    private Optional<NodeCard> reader(String model) {
+        List<NodeCard> beside = origin.get()
+                .map(known -> roster.inZone(known.zone()))
+                .filter(near -> !near.isEmpty())
+                .orElse(roster.up());
+        return EntryRoster.first(beside, "origin " + model);
+    }
+
     private Optional<NodeCard> importer(String model, NodeCard reader) {
         String region = settings.regionOf(settings.zone());
         if (settings.regionOf(reader.zone()).equals(region)) {
@@ -96,7 +106,7 @@
     }
 
     private Optional<WeightsSource> origin() {
-        return originAddress.get().map(originAt);
+        return origin.get().map(known -> originAt.apply(WireAddress.parse(known.address())));
     }
 
     private boolean isSelf(NodeCard card) {
--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
@@ -21,6 +21,9 @@
  * Keeps the weights that engines are to hold in an entry's memory, so that slot processes find them within their failure
  * domain. Each chunk comes from the origin once and crosses into a region once, as long as nothing fails.
  *
+ * <p>Chunks of a version are brought once somebody asks for one of them: an entry that has just started holds nothing
+ * that no engine needs.
+ *
  * <p>Belongs to one thread.
  */
 public final class WeightsLibrary {
@@ -70,6 +73,8 @@
         private final long sinceNanos;
         private Optional<VersionCopy> copy = Optional.empty();
         private boolean manifestAsked;
+        private boolean demanded;
+        private boolean resting;
         private int reading;
         private int failures;
         private long progressNanos;
@@ -165,8 +170,9 @@
         return shelf(weights).filter(shelf -> shelf.copy.isPresent()).map(this::offerOf);
     }
 
+    /** A version of which nobody has asked a chunk yet may be had as well as any. */
     private boolean comesAlong(Shelf shelf) {
-        return timers.nanoTime() - shelf.progressNanos < STALLED_AFTER.toNanos();
+        return !shelf.demanded || timers.nanoTime() - shelf.progressNanos < STALLED_AFTER.toNanos();
     }
 
     private Offer offerOf(Shelf shelf) {
@@ -203,6 +209,23 @@
         });
         holder[0] = new Waiting(weights, number, reply, timer);
         waiting.add(holder[0]);
+        demand(shelf(weights).get());
+    }
+
+    private void demand(Shelf shelf) {
+        if (shelf.demanded) {
+            return;
+        }
+        shelf.demanded = true;
+        if (shelf.copy.isPresent()) {
+            bring(shelf);
+        }
+    }
+
+    private void bring(Shelf shelf) {
+        shelf.progressNanos = timers.nanoTime();
+        timers.schedule(STALLED_AFTER, () -> watchProgress(shelf));
+        readChunks(shelf);
     }
 
     private Optional<Shelf> shelf(HeldWeights weights) {
@@ -232,8 +255,6 @@
             }
             shelf.failures = 0;
             shelf.copy = Optional.of(VersionCopy.of(digests));
-            shelf.progressNanos = timers.nanoTime();
-            timers.schedule(STALLED_AFTER, () -> watchProgress(shelf));
             log.event(Category.BELIEF, "manifest_known")
                     .with("model", shelf.weights.model())
                     .with("version", shelf.weights.version())
@@ -241,13 +262,15 @@
                     .with("source", source.get().name())
                     .write();
             changed.run();
-            readChunks(shelf);
+            if (shelf.demanded) {
+                bring(shelf);
+            }
         });
     }
 
     private void readChunks(Shelf shelf) {
         VersionCopy copy = shelf.copy.orElseThrow();
-        while (isWanted(shelf) && shelf.reading < READS_AT_ONCE) {
+        while (isWanted(shelf) && !shelf.resting && shelf.reading < READS_AT_ONCE) {
             Optional<WeightsSource> source = sources.chunkSource(shelf.weights.model(), shelf.failures);
             OptionalInt next = source.isEmpty() ? OptionalInt.empty() : copy.askNext();
             if (next.isEmpty()) {
@@ -256,7 +279,7 @@
             shelf.reading++;
             readChunk(shelf, copy, source.get(), next.getAsInt());
         }
-        if (shelf.reading == 0 && !copy.isWhole() && isWanted(shelf)) {
+        if (shelf.reading == 0 && !shelf.resting && !copy.isWhole() && isWanted(shelf)) {
             timers.schedule(NO_SOURCE_RETRY, () -> readChunks(shelf));
         }
     }
@@ -266,6 +289,7 @@
             shelf.reading--;
             if (error == null && copy.put(number, content)) {
                 shelf.failures = 0;
+                shelf.resting = false;
                 shelf.progressNanos = timers.nanoTime();
                 (source.isOrigin() ? fromOrigin : fromNodes).inc();
                 arrived(shelf, number, content);
@@ -283,7 +307,11 @@
             } else {
                 missed(shelf, source, "chunk " + number, error);
             }
-            timers.schedule(backoff(shelf), () -> readChunks(shelf));
+            shelf.resting = true;
+            timers.schedule(backoff(shelf), () -> {
+                shelf.resting = false;
+                readChunks(shelf);
+            });
         });
     }
 
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/supply/WeightsLibraryTest.java
@@ -0,0 +1,151 @@
+package org.galenahinge.supply;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.galenahinge.concurrent.ManualTimers;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.upstream.HeldWeights;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class WeightsLibraryTest {
+    private static final int CHUNKS = 8;
+
+    private final ManualTimers timers = new ManualTimers();
+    private final FakeOrigin origin = new FakeOrigin();
+    private final WeightsLibrary library = WeightsLibrary.create(
+            new OneSource(),
+            timers,
+            EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
+            new MetricRegistry());
+
+    /** Entries that restart one after the other, with all engines at their version: no chunk crosses any link. */
+    @Test
+    void bringsNoChunkThatNobodyAsksFor() {
+        library.want(weights(1), timers.nanoTime());
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(origin.sent).isEmpty();
+        assertThat(library.offer("m")).isPresent();
+    }
+
+    @Test
+    void bringsAllOnceOneIsAskedFor() {
+        library.want(weights(1), timers.nanoTime());
+        assertThat(ask(1, 3)).isPresent();
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(origin.sent).hasSize(CHUNKS).doesNotHaveDuplicates();
+    }
+
+    /** An engine that asks while the manifest is still on its way gets its chunk afterwards. */
+    @Test
+    void remembersWhatIsAskedBeforeTheManifestComes() {
+        origin.holdManifest = true;
+        library.want(weights(1), timers.nanoTime());
+        List<byte[]> got = new ArrayList<>();
+        library.give(weights(1), 0, Duration.ofSeconds(1), chunk -> chunk.ifPresent(got::add));
+        origin.releaseManifest(1);
+        timers.advance(Duration.ofMillis(500));
+        assertThat(got).hasSize(1);
+    }
+
+    /** The origin is away when a version is named: engines are offered the one before, once the new one is seen to stall. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void offersTheVersionBeforeWhileTheNewestStalls(boolean newestAskedFor) {
+        library.want(weights(1), timers.nanoTime());
+        library.want(weights(2), timers.nanoTime());
+        origin.away = true;
+        if (newestAskedFor) {
+            ask(2, 0);
+        }
+        timers.advance(Duration.ofSeconds(1));
+        long offered = library.offer("m").orElseThrow().digests().weights().version();
+        assertThat(offered).isEqualTo(newestAskedFor ? 1 : 2);
+        origin.away = false;
+        ask(2, 0);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(library.offer("m").orElseThrow().digests().weights().version())
+                .isEqualTo(2);
+    }
+
+    private Optional<byte[]> ask(long version, int number) {
+        List<Optional<byte[]>> got = new ArrayList<>();
+        library.give(weights(version), number, Duration.ofMillis(100), got::add);
+        timers.advance(Duration.ofMillis(200));
+        return got.get(0);
+    }
+
+    private static HeldWeights weights(long version) {
+        return new HeldWeights("m", version);
+    }
+
+    private static byte[] chunk(long version, int number) {
+        return ("v" + version + " chunk " + number).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static WeightsDigests digests(long version) {
+        List<String> digests = new ArrayList<>();
+        for (int number = 0; number < CHUNKS; number++) {
+            digests.add(Hashing.sha256().hashBytes(chunk(version, number)).toString());
+        }
+        return new WeightsDigests(weights(version), digests);
+    }
+
+    private final class OneSource implements WeightsLibrary.Sources {
+        @Override
+        public Optional<WeightsSource> manifestSource(String model, int failures) {
+            return Optional.of(origin);
+        }
+
+        @Override
+        public Optional<WeightsSource> chunkSource(String model, int failures) {
+            return Optional.of(origin);
+        }
+    }
+
+    private static final class FakeOrigin implements WeightsSource {
+        private final List<String> sent = new ArrayList<>();
+        private final CompletableFuture<WeightsDigests> held = new CompletableFuture<>();
+        private boolean away;
+        private boolean holdManifest;
+
+        void releaseManifest(long version) {
+            held.complete(digests(version));
+        }
+
+        @Override
+        public CompletionStage<WeightsDigests> manifest(HeldWeights weights) {
+            return holdManifest ? held : CompletableFuture.completedFuture(digests(weights.version()));
+        }
+
+        @Override
+        public CompletionStage<byte[]> chunk(HeldWeights weights, int number) {
+            if (away) {
+                return CompletableFuture.failedFuture(new SupplyException("away"));
+            }
+            sent.add(weights.version() + "/" + number);
+            return CompletableFuture.completedFuture(WeightsLibraryTest.chunk(weights.version(), number));
+        }
+
+        @Override
+        public boolean isOrigin() {
+            return true;
+        }
+
+        @Override
+        public String name() {
+            return "origin";
+        }
+    }
+}
