--- a/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
@@ -40,10 +41,12 @@
     /** A whole answer. */
     public static final class Whole {
         private final int status;
+        private final Exchange.Headers headers;
         private final byte[] body;
 
-        Whole(int status, byte[] body) {
+        Whole(int status, Exchange.Headers headers, byte[] body) {
             this.status = status;
+            this.headers = headers;
             this.body = body;
         }
 
@@ -56,6 +59,16 @@
             return status;
         }
 
+        /**
+         * Returns a header.
+         *
+         * @param name its name, in any case
+         * @return its value
+         */
+        public Optional<String> header(String name) {
+            return headers.find(name);
+        }
+
         /**
          * Returns the body, which must not be changed.
          *
@@ -80,6 +93,7 @@
         private final long maximumBytes;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
+        private Exchange.Headers headers = name -> Optional.empty();
 
         Collector(CompletableFuture<Whole> whole, long maximumBytes) {
             this.whole = whole;
@@ -87,8 +101,9 @@
         }
 
         @Override
-        public void head(int newStatus, Exchange.Headers headers) {
+        public void head(int newStatus, Exchange.Headers newHeaders) {
             status = newStatus;
+            headers = newHeaders;
         }
 
         @Override
@@ -103,7 +118,7 @@
 
         @Override
         public void whole() {
-            whole.complete(new Whole(status, body.toByteArray()));
+            whole.complete(new Whole(status, headers, body.toByteArray()));
         }
 
         @Override
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.HeldWeights;
+import org.galenahinge.upstream.NewUpstream;
 import org.galenahinge.wire.WireAddress;
 import org.galenahinge.wire.generated.SlotLoad;
 
@@ -20,11 +21,13 @@
      * @param address where the upstream listens
      * @param bornMillis when it started, in milliseconds since 1970; 0 where unknown
      * @param report the report
+     * @param newUpstream who it is, while it has just started
      */
-    record Load(WireAddress address, long bornMillis, LoadReport report) {
+    record Load(WireAddress address, long bornMillis, LoadReport report, Optional<NewUpstream> newUpstream) {
         Load {
             Objects.requireNonNull(address, "address");
             Objects.requireNonNull(report, "report");
+            Objects.requireNonNull(newUpstream, "newUpstream");
         }
     }
 
@@ -40,6 +43,10 @@
                 .setLoading(report.loading());
         report.untilLoad().ifPresent(left -> datagram.setTurnKnown(true).setUntilTurnMillis(left.toMillis()));
         report.weights().ifPresent(held -> datagram.setModel(held.model()).setVersion(held.version()));
+        load.newUpstream()
+                .ifPresent(started -> datagram.setNewbornId(started.id())
+                        .setNewbornService(started.service())
+                        .setNewbornZone(started.zone()));
         return datagram.build().toByteArray();
     }
 
@@ -59,7 +66,12 @@
                             ? Optional.of(Duration.ofMillis(datagram.getUntilTurnMillis()))
                             : Optional.empty(),
                     weights);
-            return Optional.of(new Load(WireAddress.parse(datagram.getAddress()), datagram.getBornMillis(), report));
+            Optional<NewUpstream> newUpstream = datagram.getNewbornId().isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new NewUpstream(
+                            datagram.getNewbornId(), datagram.getNewbornService(), datagram.getNewbornZone()));
+            return Optional.of(
+                    new Load(WireAddress.parse(datagram.getAddress()), datagram.getBornMillis(), report, newUpstream));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineControl.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineControl.java
@@ -13,6 +13,13 @@
      */
     CompletionStage<EngineReport> report();
 
+    /**
+     * Asks the engine for its name.
+     *
+     * @return the name under which the store will hold its entry, or empty when it does not say
+     */
+    CompletionStage<Optional<String>> name();
+
     /**
      * Lays a chunk beside the engine, over the one of the same number.
      *
--- a/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
@@ -208,6 +208,11 @@
             return CompletableFuture.completedFuture(state());
         }
 
+        @Override
+        public CompletionStage<Optional<String>> name() {
+            return CompletableFuture.completedFuture(Optional.of("engine-1"));
+        }
+
         @Override
         public CompletionStage<Void> stage(String model, int number, byte[] content) {
             staged.put(number, content);
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/ModelServerStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/ModelServerStandIn.java
@@ -166,6 +166,12 @@
     }
 
     private void serve(HttpExchange exchange) throws IOException {
+        String expected = exchange.getRequestHeaders().getFirst("Expect-Instance");
+        if (expected != null && !expected.equals(id)) {
+            exchange.getResponseHeaders().set("Instance-Id", id);
+            StandInServer.reply(exchange, 421, new byte[0]);
+            return;
+        }
         remember(exchange);
         exchange.getRequestBody().readAllBytes();
         String requestId = exchange.getRequestHeaders().getFirst("Attempt-Id");
