--- a/galenahinge/src/main/java/org/galenahinge/node/EngineBirth.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EngineBirth.java
@@ -13,7 +13,7 @@
 import org.galenahinge.upstream.NewUpstream;
 
 /**
- * Notices that the engine on the own VM has just started, and asks for its name, so that entries need not wait until its
+ * Notices that the engine on the own VM has just started, and probes it for its name, so that entries need not wait until its
  * entry stands in the store. Belongs to one thread.
  *
  * <p>An engine that was there before this process is none that has just started, whatever the clock says: it may be one
@@ -23,6 +23,9 @@
     /** How long an entry in the store may take to appear after a start. */
     private static final Duration NEW_FOR = Duration.ofSeconds(4);
 
+    /** Probes are priced; an engine that does not say its name soon is waited for in the store. */
+    private static final int MOST_PROBES = 3;
+
     /** How far the engine's start may lie from now by the VM's clock. */
     private static final Duration MOST_AGE = Duration.ofSeconds(5);
 
@@ -36,6 +39,8 @@
     private long firstSeenNanos;
     private boolean young;
     private boolean asking;
+    private int probes;
+    private Optional<String> healthPath = Optional.empty();
     private Optional<String> name = Optional.empty();
 
     EngineBirth(EngineControl engine, String service, String zone, Timers timers, InstantSource clock, EventLog log) {
@@ -47,6 +52,11 @@
         this.log = Objects.requireNonNull(log, "log");
     }
 
+    /** Takes in where the engine answers probes. */
+    void probeAt(String path) {
+        healthPath = Optional.of(path);
+    }
+
     /** Takes in the engine's state. */
     void reported(EngineReport report) {
         if (bornMillis.isEmpty() || bornMillis.getAsLong() != report.bornMillis()) {
@@ -55,9 +65,11 @@
             long ageMillis = clock.millis() - report.bornMillis();
             young = report.bornMillis() != 0 && Math.abs(ageMillis) < MOST_AGE.toMillis();
             name = Optional.empty();
+            probes = 0;
         }
-        if (isNew() && name.isEmpty() && !asking) {
-            ask(report.bornMillis());
+        boolean wanted = isNew() && name.isEmpty() && !asking && probes < MOST_PROBES;
+        if (wanted && healthPath.isPresent()) {
+            ask(healthPath.get(), report.bornMillis());
         }
     }
 
@@ -70,9 +82,10 @@
         return young && timers.nanoTime() - firstSeenNanos < NEW_FOR.toNanos();
     }
 
-    private void ask(long askedOf) {
+    private void ask(String path, long askedOf) {
         asking = true;
-        engine.name().whenComplete((answer, error) -> {
+        probes++;
+        engine.name(path).whenComplete((answer, error) -> {
             asking = false;
             if (error != null) {
                 log.event(Category.FAILURE, "engine_name_missed")
--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -226,6 +226,7 @@
         if (!cards.isEmpty()) {
             roster.update(cards);
         }
+        heard.healthPath().ifPresent(birth::probeAt);
         heard.digests().ifPresent(digests -> keeper.want(digests, heard.age(), heard.plan()));
     }
 
--- a/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
@@ -101,6 +101,7 @@
     @CsvSource({"500, 1000, true", "500, 5000, false", "60000, 1000, false"})
     void tellsWhoAnEngineIsThatHasJustStarted(long age, long later, boolean told) {
         ageMillis = age;
+        birth.probeAt("/health");
         roster.update(cards(1, 0));
         birth.reported(engine.state());
         timers.advance(Duration.ofMillis(later));
@@ -110,6 +111,19 @@
         assertThat(heardAsNew).isEqualTo(told ? expected : Optional.empty());
     }
 
+    /** Probes are priced: an engine that does not say its name is left alone. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void probesAnEngineAFewTimesAtMost(boolean silent) {
+        engine.silent = silent;
+        birth.probeAt("/health");
+        for (int report = 0; report < 20; report++) {
+            birth.reported(engine.state());
+            timers.advance(Duration.ofMillis(100));
+        }
+        assertThat(engine.probes).isEqualTo(silent ? 3 : 1);
+    }
+
     private void send(NodeCard entry, byte[] datagram) {
         heard.merge(entry.name(), 1, Integer::sum);
         LoadCodec.Load load = LoadCodec.read(ByteBuffer.wrap(datagram)).orElseThrow();
@@ -133,6 +147,8 @@
     /** An engine that holds the first version, with the next one staged. */
     private static final class FakeEngine implements EngineControl {
         private int orders;
+        private int probes;
+        private boolean silent;
         private Runnable onOrder = () -> {};
 
         EngineReport state() {
@@ -145,8 +161,9 @@
         }
 
         @Override
-        public CompletionStage<Optional<String>> name() {
-            return CompletableFuture.completedFuture(Optional.of("engine-1"));
+        public CompletionStage<Optional<String>> name(String healthPath) {
+            probes++;
+            return CompletableFuture.completedFuture(silent ? Optional.empty() : Optional.of("engine-1"));
         }
 
         @Override
--- a/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
@@ -209,7 +209,7 @@
         }
 
         @Override
-        public CompletionStage<Optional<String>> name() {
+        public CompletionStage<Optional<String>> name(String healthPath) {
             return CompletableFuture.completedFuture(Optional.of("engine-1"));
         }
 
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/ModelServerStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/ModelServerStandIn.java
@@ -139,6 +139,9 @@
         } else if (path.startsWith("/galenahinge/stage-get/")) {
             byte[] chunk = staged.get(number(exchange));
             StandInServer.reply(exchange, chunk == null ? 404 : 200, chunk == null ? new byte[0] : chunk);
+        } else if (path.equals("/health")) {
+            exchange.getResponseHeaders().set("Instance-Id", id);
+            StandInServer.reply(exchange, 200, new byte[0]);
         } else if (path.equals("/galenahinge/order")) {
             order(exchange);
         } else {
