Take back: use a new engine before the store shows it

Tried: after a loss of power the engines are loaded at 37.0 s, but their entries stand in the store only from 37.0 to 38.2 s. Slot processes probed a new engine for its name (first by asking for another instance, which brought no name and 1539 priced requests; then at the health path) and told the entries, which used it for four seconds without the store.

--- a/bench/src/main/java/org/galenahinge/bench/Rehearsal.java
+++ b/bench/src/main/java/org/galenahinge/bench/Rehearsal.java
@@ -34,7 +34,7 @@
         deployment.server("plain-1", DeploymentStandIn.PLAIN, 0);
         DeploymentStandIn.Ports entryPorts = new DeploymentStandIn.Ports();
         PlatformProcess entry = PlatformProcess.start(Role.ENTRY, deployment.entrySettings("entry-1", entryPorts));
-        byte[] slotSettings = deployment.slotSettings("slot-1", entryPorts, engine);
+        byte[] slotSettings = deployment.slotSettings("slot-1", entryPorts, new DeploymentStandIn.Ports(), engine);
         PlatformProcess slot = PlatformProcess.start(Role.SLOT, slotSettings);
         for (int round = 0; round < ROUNDS; round++) {
             call(entryPorts.callers(), "/lookup/x", round);
--- a/galenahinge/src/main/java/org/galenahinge/catalog/Service.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/Service.java
@@ -8,20 +8,14 @@
  *
  * @param name its name
  * @param maximumConnections connections that one upstream accepts from all callers together
- * @param healthPath where its upstreams answer probes, and say who they are; empty where they answer none
  * @param engine the figures of its engines, empty for a plain service
  * @param origin where the weights of versions come from, for the service that hands them out
  */
 public record Service(
-        String name,
-        int maximumConnections,
-        Optional<String> healthPath,
-        Optional<EngineFigures> engine,
-        Optional<WeightsOrigin> origin) {
+        String name, int maximumConnections, Optional<EngineFigures> engine, Optional<WeightsOrigin> origin) {
     /** Checks the parts. */
     public Service {
         Objects.requireNonNull(name, "name");
-        Objects.requireNonNull(healthPath, "healthPath");
         Objects.requireNonNull(engine, "engine");
         Objects.requireNonNull(origin, "origin");
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -26,8 +26,6 @@
 import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.RepeatBudget;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
-import org.galenahinge.upstream.NewUpstream;
-import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
 
@@ -35,7 +33,6 @@
 public final class Gateway {
     private static final int WAITING_CAPACITY = 256;
     private static final Duration SWEEP_EVERY = Duration.ofMillis(20);
-    private static final long NOT_IN_STORE = 0;
     private static final Duration VERSION_MARGIN = Duration.ofMillis(1_500);
 
     private final GatewaySettings settings;
@@ -48,7 +45,6 @@
     private final Placement placement;
     private final Random random;
     private final UpstreamTable upstreams;
-    private final NewUpstreams newUpstreams = new NewUpstreams();
     private final Map<String, ServiceDesk> desks = new HashMap<>();
     private final Set<ForwardedCall> unconfigured = new LinkedHashSet<>();
     private boolean sweeping;
@@ -115,8 +111,7 @@
 
     /** Takes in that the facts have changed. */
     public void factsChanged() {
-        newUpstreams.listed(facts.upstreams());
-        refreshUpstreams();
+        upstreams.refresh(facts.upstreams());
         if (facts.catalog().isPresent()) {
             List<ForwardedCall> begun = List.copyOf(unconfigured);
             unconfigured.clear();
@@ -140,41 +135,12 @@
      * @param address where the upstream listens
      * @param bornMillis when it started, so that word of an earlier life is left out; 0 where unknown
      * @param report what it says
-     * @param newUpstream who the upstream is, where it has just started
      */
-    public void reported(WireAddress address, long bornMillis, LoadReport report, Optional<NewUpstream> newUpstream) {
-        long now = timers.nanoTime();
-        boolean changed = newUpstreams.expire(now);
-        changed |= newUpstream
-                .flatMap(started -> describe(started, address, bornMillis, report))
-                .filter(upstream -> newUpstreams.heard(upstream, now))
-                .isPresent();
-        if (changed) {
-            refreshUpstreams();
-        }
+    public void reported(WireAddress address, long bornMillis, LoadReport report) {
         upstreams.reported(address, bornMillis, report);
         serveWaiting();
     }
 
-    private Optional<Upstream> describe(NewUpstream started, WireAddress address, long bornMillis, LoadReport report) {
-        return facts.catalog()
-                .flatMap(catalog -> catalog.engineOf(started.service()))
-                .map(engine -> new Upstream(
-                        started.id(),
-                        started.service(),
-                        address,
-                        started.zone(),
-                        engine.slots(),
-                        false,
-                        report.weights(),
-                        bornMillis,
-                        NOT_IN_STORE));
-    }
-
-    private void refreshUpstreams() {
-        upstreams.refresh(newUpstreams.all(facts.upstreams()));
-    }
-
     /** Says that the process is stopping: long answers are no longer begun near its end. */
     public void stop() {
         stopping = true;
--- a/galenahinge/src/main/java/org/galenahinge/http/KeptClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/KeptClient.java
@@ -132,7 +132,6 @@
         private final Runnable ended;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
-        private Exchange.Headers headers = name -> Optional.empty();
 
         Collector(Asked asked, Runnable ended) {
             this.asked = asked;
@@ -142,7 +141,6 @@
         @Override
         public void head(HttpResponse response) {
             status = response.status().code();
-            headers = name -> Optional.ofNullable(response.headers().get(name));
         }
 
         @Override
@@ -160,7 +158,7 @@
         public void whole() {
             ended.run();
             busy = false;
-            asked.whole().complete(new Whole(status, headers, body.toByteArray()));
+            asked.whole().complete(new Whole(status, body.toByteArray()));
             next();
         }
 
--- a/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.net.URI;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
@@ -41,12 +40,10 @@
     /** A whole answer. */
     public static final class Whole {
         private final int status;
-        private final Exchange.Headers headers;
         private final byte[] body;
 
-        Whole(int status, Exchange.Headers headers, byte[] body) {
+        Whole(int status, byte[] body) {
             this.status = status;
-            this.headers = headers;
             this.body = body;
         }
 
@@ -59,16 +56,6 @@
             return status;
         }
 
-        /**
-         * Returns a header.
-         *
-         * @param name its name, in any case
-         * @return its value
-         */
-        public Optional<String> header(String name) {
-            return headers.find(name);
-        }
-
         /**
          * Returns the body, which must not be changed.
          *
@@ -93,7 +80,6 @@
         private final long maximumBytes;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
-        private Exchange.Headers headers = name -> Optional.empty();
 
         Collector(CompletableFuture<Whole> whole, long maximumBytes) {
             this.whole = whole;
@@ -101,9 +87,8 @@
         }
 
         @Override
-        public void head(int newStatus, Exchange.Headers newHeaders) {
+        public void head(int newStatus, Exchange.Headers headers) {
             status = newStatus;
-            headers = newHeaders;
         }
 
         @Override
@@ -118,7 +103,7 @@
 
         @Override
         public void whole() {
-            whole.complete(new Whole(status, headers, body.toByteArray()));
+            whole.complete(new Whole(status, body.toByteArray()));
         }
 
         @Override
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -205,7 +205,7 @@
                 new WireAddress(settings.address(), settings.loadPort()),
                 metrics,
                 LoadCodec::read,
-                load -> gateway.reported(load.address(), load.bornMillis(), load.report(), load.newUpstream()));
+                load -> gateway.reported(load.address(), load.bornMillis(), load.report()));
         HttpServer.serve(
                 threads,
                 new WireAddress(settings.address(), settings.metricsPort()),
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryWeights.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryWeights.java
@@ -39,21 +39,8 @@
         this.address = Objects.requireNonNull(address, "address");
     }
 
-    /**
-     * What an entry says of a service, with the entries that it knows to be up.
-     *
-     * @param digests the weights that its engines are to hold
-     * @param age how long ago these were named
-     * @param plan when engines that work are to stop for loading
-     * @param nodes the cards of the entries
-     * @param healthPath where its upstreams answer probes, if anywhere
-     */
-    record Heard(
-            Optional<WeightsDigests> digests,
-            Duration age,
-            LoadPlan plan,
-            List<String> nodes,
-            Optional<String> healthPath) {
+    /** What an entry says of the weights of a service, with the entries that it knows to be up. */
+    record Heard(Optional<WeightsDigests> digests, Duration age, LoadPlan plan, List<String> nodes) {
         Heard {
             nodes = List.copyOf(nodes);
         }
@@ -102,18 +89,15 @@
         return address.toString();
     }
 
-    static byte[] write(Heard heard) {
-        WeightsOffer.Builder offer = WeightsOffer.newBuilder()
-                .setAgeMillis(heard.age().toMillis())
-                .addAllNodes(heard.nodes())
-                .setPlace(heard.plan().place())
-                .setHealthPath(heard.healthPath().orElse(""));
-        heard.plan()
-                .versions()
+    static byte[] write(Optional<WeightsDigests> digests, Duration age, LoadPlan plan, List<String> nodes) {
+        WeightsOffer.Builder offer =
+                WeightsOffer.newBuilder().setAgeMillis(age.toMillis()).addAllNodes(nodes);
+        offer.setPlace(plan.place());
+        plan.versions()
                 .forEach(named -> offer.addNamed(NamedVersion.newBuilder()
                         .setVersion(named.version())
                         .setAgeMillis(named.age().toMillis())));
-        heard.digests().ifPresent(known -> {
+        digests.ifPresent(known -> {
             offer.setModel(known.weights().model()).setVersion(known.weights().version());
             known.digests().forEach(digest -> offer.addDigests(ByteString.copyFrom(HEX.decode(digest))));
         });
@@ -135,12 +119,7 @@
                             new LoadPlan.NamedVersion(version.getVersion(), Duration.ofMillis(version.getAgeMillis())))
                     .toList();
             LoadPlan plan = new LoadPlan(named, offer.getPlace());
-            return new Heard(
-                    digests,
-                    Duration.ofMillis(offer.getAgeMillis()),
-                    plan,
-                    offer.getNodesList(),
-                    Optional.of(offer.getHealthPath()).filter(path -> !path.isEmpty()));
+            return new Heard(digests, Duration.ofMillis(offer.getAgeMillis()), plan, offer.getNodesList());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             throw new SupplyException("the entry's answer cannot be read: " + e.getMessage());
         }
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
@@ -27,7 +27,6 @@
     private final WireAddress upstream;
     private final EntryRoster roster;
     private final ModelKeeper keeper;
-    private final EngineBirth birth;
     private final BiConsumer<NodeCard, byte[]> sender;
     private final Timers timers;
     private long nextFarNanos;
@@ -37,14 +36,12 @@
             WireAddress upstream,
             EntryRoster roster,
             ModelKeeper keeper,
-            EngineBirth birth,
             BiConsumer<NodeCard, byte[]> sender,
             Timers timers) {
         this.zone = zone;
         this.upstream = upstream;
         this.roster = roster;
         this.keeper = keeper;
-        this.birth = birth;
         this.sender = sender;
         this.timers = timers;
         this.nextFarNanos = timers.nanoTime();
@@ -57,7 +54,6 @@
      * @param upstream where the engine listens
      * @param roster the entries to tell
      * @param keeper knows whether the engine loads
-     * @param birth knows whether the engine has just started
      * @param sender sends a datagram to an entry, without waiting
      * @param timers the clock
      * @return the announcer
@@ -67,7 +63,6 @@
             WireAddress upstream,
             EntryRoster roster,
             ModelKeeper keeper,
-            EngineBirth birth,
             BiConsumer<NodeCard, byte[]> sender,
             Timers timers) {
         return new LoadAnnouncer(
@@ -75,7 +70,6 @@
                 Objects.requireNonNull(upstream, "upstream"),
                 Objects.requireNonNull(roster, "roster"),
                 Objects.requireNonNull(keeper, "keeper"),
-                Objects.requireNonNull(birth, "birth"),
                 Objects.requireNonNull(sender, "sender"),
                 Objects.requireNonNull(timers, "timers"));
     }
@@ -101,8 +95,7 @@
     }
 
     private void tell(EngineReport report, Stream<NodeCard> entries) {
-        byte[] datagram =
-                LoadCodec.write(new LoadCodec.Load(upstream, report.bornMillis(), loadOf(report), birth.newUpstream()));
+        byte[] datagram = LoadCodec.write(new LoadCodec.Load(upstream, report.bornMillis(), loadOf(report)));
         entries.forEach(entry -> sender.accept(entry, datagram));
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.HeldWeights;
-import org.galenahinge.upstream.NewUpstream;
 import org.galenahinge.wire.WireAddress;
 import org.galenahinge.wire.generated.SlotLoad;
 
@@ -21,13 +20,11 @@
      * @param address where the upstream listens
      * @param bornMillis when it started, in milliseconds since 1970; 0 where unknown
      * @param report the report
-     * @param newUpstream who it is, while it has just started
      */
-    record Load(WireAddress address, long bornMillis, LoadReport report, Optional<NewUpstream> newUpstream) {
+    record Load(WireAddress address, long bornMillis, LoadReport report) {
         Load {
             Objects.requireNonNull(address, "address");
             Objects.requireNonNull(report, "report");
-            Objects.requireNonNull(newUpstream, "newUpstream");
         }
     }
 
@@ -43,10 +40,6 @@
                 .setLoading(report.loading());
         report.untilLoad().ifPresent(left -> datagram.setTurnKnown(true).setUntilTurnMillis(left.toMillis()));
         report.weights().ifPresent(held -> datagram.setModel(held.model()).setVersion(held.version()));
-        load.newUpstream()
-                .ifPresent(started -> datagram.setNewbornId(started.id())
-                        .setNewbornService(started.service())
-                        .setNewbornZone(started.zone()));
         return datagram.build().toByteArray();
     }
 
@@ -66,12 +59,7 @@
                             ? Optional.of(Duration.ofMillis(datagram.getUntilTurnMillis()))
                             : Optional.empty(),
                     weights);
-            Optional<NewUpstream> newUpstream = datagram.getNewbornId().isEmpty()
-                    ? Optional.empty()
-                    : Optional.of(new NewUpstream(
-                            datagram.getNewbornId(), datagram.getNewbornService(), datagram.getNewbornZone()));
-            return Optional.of(
-                    new Load(WireAddress.parse(datagram.getAddress()), datagram.getBornMillis(), report, newUpstream));
+            return Optional.of(new Load(WireAddress.parse(datagram.getAddress()), datagram.getBornMillis(), report));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/SlotNode.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -44,7 +43,6 @@
     private final EngineControl engine;
     private final ModelKeeper keeper;
     private final WireAddress upstream;
-    private final EngineBirth birth;
     private final LoadAnnouncer announcer;
     private DatagramNetwork datagrams;
     private int askFailures;
@@ -70,8 +68,7 @@
         this.upstream = settings.upstream().orElseThrow();
         this.engine = platform.engine(threads, upstream);
         this.keeper = ModelKeeper.create(engine, this::source, settings.bounds().versionWithin(), timers, log, metrics);
-        this.birth = new EngineBirth(engine, service, settings.zone(), timers, InstantSource.system(), log);
-        this.announcer = LoadAnnouncer.create(settings.zone(), upstream, roster, keeper, birth, this::send, timers);
+        this.announcer = LoadAnnouncer.create(settings.zone(), upstream, roster, keeper, this::send, timers);
         keeper.onLoading(announcer::tellAll);
     }
 
@@ -173,7 +170,6 @@
             engineLost = false;
             log.event(Category.LIFECYCLE, "engine_regained").write();
         }
-        birth.reported(report);
         keeper.reported(report);
         announcer.reported(report);
     }
@@ -226,7 +222,6 @@
         if (!cards.isEmpty()) {
             roster.update(cards);
         }
-        heard.healthPath().ifPresent(birth::probeAt);
         heard.digests().ifPresent(digests -> keeper.want(digests, heard.age(), heard.plan()));
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.galenahinge.catalog.EngineFigures;
-import org.galenahinge.catalog.Service;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.http.HttpDocument;
@@ -39,10 +38,7 @@
     private final List<Waiting> waiting = new ArrayList<>();
 
     private record Waiting(
-            Supplier<Optional<Offer>> offer, Asker asker, Consumer<HttpDocument> reply, Timers.Timer timer) {}
-
-    /** Who asks: a slot process for its upstream, or another entry, which names neither. */
-    private record Asker(String service, String upstream) {}
+            Supplier<Optional<Offer>> offer, String upstream, Consumer<HttpDocument> reply, Timers.Timer timer) {}
 
     WeightsDesk(FleetFacts facts, WeightsLibrary shelves, Timers timers, Supplier<List<String>> nodes) {
         this.facts = Objects.requireNonNull(facts, "facts");
@@ -103,17 +99,17 @@
 
     private void await(Supplier<Optional<Offer>> offer, QueryStringDecoder query, Consumer<HttpDocument> reply) {
         Duration wait = Duration.ofMillis(Math.min(NodeQuery.number(query, "wait"), LONGEST_WAIT.toMillis()));
-        Asker asker = new Asker(NodeQuery.text(query, "service"), NodeQuery.text(query, "upstream"));
+        String upstream = NodeQuery.text(query, "upstream");
         if (offer.get().isPresent() || waiting.size() >= MOST_WAITING || wait.isZero()) {
-            answer(offer.get(), asker, reply);
+            answer(offer.get(), upstream, reply);
             return;
         }
         Waiting[] holder = new Waiting[1];
         Timers.Timer timer = timers.schedule(wait, () -> {
             waiting.remove(holder[0]);
-            answer(offer.get(), asker, reply);
+            answer(offer.get(), upstream, reply);
         });
-        holder[0] = new Waiting(offer, asker, reply, timer);
+        holder[0] = new Waiting(offer, upstream, reply, timer);
         waiting.add(holder[0]);
     }
 
@@ -123,20 +119,15 @@
             if (offer.isPresent()) {
                 waiting.remove(one);
                 one.timer().cancel();
-                answer(offer, one.asker(), one.reply());
+                answer(offer, one.upstream(), one.reply());
             }
         }
     }
 
-    private void answer(Optional<Offer> offer, Asker asker, Consumer<HttpDocument> reply) {
+    private void answer(Optional<Offer> offer, String upstream, Consumer<HttpDocument> reply) {
         Optional<WeightsDigests> digests = offer.map(Offer::digests);
         Duration age = offer.map(Offer::age).orElse(Duration.ZERO);
-        Optional<String> healthPath = facts.catalog()
-                .map(catalog -> catalog.services().get(asker.service()))
-                .flatMap(Service::healthPath);
-        EntryWeights.Heard heard =
-                new EntryWeights.Heard(digests, age, plan(digests, asker.upstream()), nodes.get(), healthPath);
-        reply.accept(HttpDocument.bytes(200, EntryWeights.write(heard)));
+        reply.accept(HttpDocument.bytes(200, EntryWeights.write(digests, age, plan(digests, upstream), nodes.get())));
     }
 
     private LoadPlan plan(Optional<WeightsDigests> digests, String upstream) {
--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineControl.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineControl.java
@@ -13,14 +13,6 @@
      */
     CompletionStage<EngineReport> report();
 
-    /**
-     * Probes the engine for its name.
-     *
-     * @param healthPath where it answers probes
-     * @return the name under which the store will hold its entry, or empty when it does not say
-     */
-    CompletionStage<Optional<String>> name(String healthPath);
-
     /**
      * Lays a chunk beside the engine, over the one of the same number.
      *
--- a/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
@@ -7,7 +7,6 @@
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,19 +23,15 @@
 import org.galenahinge.supply.ModelKeeper;
 import org.galenahinge.supply.WeightsDigests;
 import org.galenahinge.upstream.HeldWeights;
-import org.galenahinge.upstream.NewUpstream;
 import org.galenahinge.wire.WireAddress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class LoadAnnouncerTest {
-    private static final long BORN = 1_000_000;
     private static final byte[] CHUNK = {1, 2, 3};
     private static final HeldWeights NEXT = new HeldWeights("m", 2);
 
-    private long ageMillis;
     private final ManualTimers timers = new ManualTimers();
     private final EntryRoster roster = new EntryRoster("near", 1);
     private final FakeEngine engine = new FakeEngine();
@@ -48,17 +43,9 @@
             EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
             new MetricRegistry());
     private final Map<String, Integer> heard = new HashMap<>();
-    private Optional<NewUpstream> heardAsNew = Optional.empty();
     private final Set<String> heardOfLoading = new HashSet<>();
-    private final EngineBirth birth = new EngineBirth(
-            engine,
-            "s",
-            "near",
-            timers,
-            () -> Instant.ofEpochMilli(BORN + ageMillis),
-            EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()));
     private final LoadAnnouncer announcer =
-            LoadAnnouncer.create("near", new WireAddress("10.0.0.9", 80), roster, keeper, birth, this::send, timers);
+            LoadAnnouncer.create("near", new WireAddress("10.0.0.9", 80), roster, keeper, this::send, timers);
 
     /** The more entries, the less often each of the others hears, so that an engine's VM sends no more. */
     @ParameterizedTest
@@ -96,39 +83,11 @@
         assertThat(engine.orders).isEqualTo(1);
     }
 
-    /** An engine that starts again under another name is told of until its entry can be expected in the store. */
-    @ParameterizedTest
-    @CsvSource({"500, 1000, true", "500, 5000, false", "60000, 1000, false"})
-    void tellsWhoAnEngineIsThatHasJustStarted(long age, long later, boolean told) {
-        ageMillis = age;
-        birth.probeAt("/health");
-        roster.update(cards(1, 0));
-        birth.reported(engine.state());
-        timers.advance(Duration.ofMillis(later));
-        birth.reported(engine.state());
-        announcer.reported(engine.state());
-        Optional<NewUpstream> expected = Optional.of(new NewUpstream("engine-1", "s", "near"));
-        assertThat(heardAsNew).isEqualTo(told ? expected : Optional.empty());
-    }
-
-    /** Probes are priced: an engine that does not say its name is left alone. */
-    @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void probesAnEngineAFewTimesAtMost(boolean silent) {
-        engine.silent = silent;
-        birth.probeAt("/health");
-        for (int report = 0; report < 20; report++) {
-            birth.reported(engine.state());
-            timers.advance(Duration.ofMillis(100));
-        }
-        assertThat(engine.probes).isEqualTo(silent ? 3 : 1);
-    }
-
     private void send(NodeCard entry, byte[] datagram) {
         heard.merge(entry.name(), 1, Integer::sum);
-        LoadCodec.Load load = LoadCodec.read(ByteBuffer.wrap(datagram)).orElseThrow();
-        heardAsNew = load.newUpstream();
-        if (load.report().loading()) {
+        boolean loading =
+                LoadCodec.read(ByteBuffer.wrap(datagram)).orElseThrow().report().loading();
+        if (loading) {
             heardOfLoading.add(entry.name());
         }
     }
@@ -147,12 +106,10 @@
     /** An engine that holds the first version, with the next one staged. */
     private static final class FakeEngine implements EngineControl {
         private int orders;
-        private int probes;
-        private boolean silent;
         private Runnable onOrder = () -> {};
 
         EngineReport state() {
-            return new EngineReport(0, 0, 0, 1, 1, orders > 0, orders, BORN, 16, Optional.of(new HeldWeights("m", 1)));
+            return new EngineReport(0, 0, 0, 1, 1, orders > 0, orders, 7, 16, Optional.of(new HeldWeights("m", 1)));
         }
 
         @Override
@@ -160,12 +117,6 @@
             return CompletableFuture.completedFuture(state());
         }
 
-        @Override
-        public CompletionStage<Optional<String>> name(String healthPath) {
-            probes++;
-            return CompletableFuture.completedFuture(silent ? Optional.empty() : Optional.of("engine-1"));
-        }
-
         @Override
         public CompletionStage<Void> stage(String model, int number, byte[] content) {
             return CompletableFuture.completedFuture(null);
--- a/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
@@ -208,11 +208,6 @@
             return CompletableFuture.completedFuture(state());
         }
 
-        @Override
-        public CompletionStage<Optional<String>> name(String healthPath) {
-            return CompletableFuture.completedFuture(Optional.of("engine-1"));
-        }
-
         @Override
         public CompletionStage<Void> stage(String model, int number, byte[] content) {
             staged.put(number, content);
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -15,9 +15,6 @@
     /** The host of all routes. */
     public static final String HOST = "127.0.0.1";
 
-    /** Each VM of a day uses the same ports, so the slot process needs an address of its own. */
-    private static final String SLOT_IP = "127.0.0.2";
-
     /** A key that the config knows. */
     public static final String KEY = "known-key";
 
@@ -212,13 +209,15 @@
      *
      * @param name its machine's name
      * @param entry where the entry that it asks listens
+     * @param own where it listens itself
      * @param engine the engine on its machine
      * @return the file's bytes
      */
-    public byte[] slotSettings(String name, Ports entry, ModelServerStandIn engine) {
+    public byte[] slotSettings(String name, Ports entry, Ports own, ModelServerStandIn engine) {
         String more = ",\"app\":\"" + engine.address() + "\",\"service\":\"" + ENGINES + "\"";
-        String file = new String(settings(name, "side", "{}", entry, more), StandardCharsets.UTF_8);
-        return file.replace("\"ip\":\"127.0.0.1\"", "\"ip\":\"" + SLOT_IP + "\"")
+        byte[] file = settings(name, "side", "{}", entry, more);
+        String text = new String(file, StandardCharsets.UTF_8);
+        return text.replace("[" + entry.internal + ",", "[" + own.internal + ",")
                 .getBytes(StandardCharsets.UTF_8);
     }
 
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/ModelServerStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/ModelServerStandIn.java
@@ -139,9 +139,6 @@
         } else if (path.startsWith("/galenahinge/stage-get/")) {
             byte[] chunk = staged.get(number(exchange));
             StandInServer.reply(exchange, chunk == null ? 404 : 200, chunk == null ? new byte[0] : chunk);
-        } else if (path.equals("/health")) {
-            exchange.getResponseHeaders().set("Instance-Id", id);
-            StandInServer.reply(exchange, 200, new byte[0]);
         } else if (path.equals("/galenahinge/order")) {
             order(exchange);
         } else {
@@ -169,12 +166,6 @@
     }
 
     private void serve(HttpExchange exchange) throws IOException {
-        String expected = exchange.getRequestHeaders().getFirst("Expect-Instance");
-        if (expected != null && !expected.equals(id)) {
-            exchange.getResponseHeaders().set("Instance-Id", id);
-            StandInServer.reply(exchange, 421, new byte[0]);
-            return;
-        }
         remember(exchange);
         exchange.getRequestBody().readAllBytes();
         String requestId = exchange.getRequestHeaders().getFirst("Attempt-Id");
