--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
@@ -33,7 +33,7 @@
     private static final Duration STALLED_AFTER = Duration.ofMillis(600);
     private static final Duration NO_SOURCE_RETRY = Duration.ofMillis(100);
     private static final Duration FIRST_RETRY = Duration.ofMillis(40);
-    private static final Duration LONGEST_RETRY = Duration.ofMillis(400);
+    private static final Duration LONGEST_RETRY = Duration.ofMillis(150);
 
     private final Sources sources;
     private final Timers timers;
@@ -288,6 +288,7 @@
         source.chunk(shelf.weights, number).whenComplete((content, error) -> {
             shelf.reading--;
             if (error == null && copy.put(number, content)) {
+                boolean stalled = !comesAlong(shelf);
                 shelf.failures = 0;
                 shelf.resting = false;
                 shelf.progressNanos = timers.nanoTime();
@@ -295,6 +296,8 @@
                 arrived(shelf, number, content);
                 if (copy.isWhole()) {
                     tellWhole(shelf);
+                }
+                if (stalled || copy.isWhole()) {
                     changed.run();
                 }
                 readChunks(shelf);
--- a/galenahinge/src/test/java/org/galenahinge/supply/WeightsLibraryTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/WeightsLibraryTest.java
@@ -70,13 +70,31 @@
             ask(2, 0);
         }
         timers.advance(Duration.ofSeconds(1));
-        long offered = library.offer("m").orElseThrow().digests().weights().version();
-        assertThat(offered).isEqualTo(newestAskedFor ? 1 : 2);
+        assertThat(offered()).isEqualTo(newestAskedFor ? 1 : 2);
         origin.away = false;
         ask(2, 0);
         timers.advance(Duration.ofSeconds(2));
-        assertThat(library.offer("m").orElseThrow().digests().weights().version())
-                .isEqualTo(2);
+        assertThat(offered()).isEqualTo(2);
+    }
+
+    /** The origin is back after a while: whoever waits for weights hears at once that the newest comes along again. */
+    @Test
+    void tellsAtOnceThatAStalledVersionComesAlongAgain() {
+        library.want(weights(1), timers.nanoTime());
+        library.want(weights(2), timers.nanoTime());
+        origin.away = true;
+        ask(2, 0);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(offered()).isEqualTo(1);
+        List<Long> told = new ArrayList<>();
+        library.onChange(() -> told.add(offered()));
+        origin.away = false;
+        timers.advance(Duration.ofMillis(200));
+        assertThat(told).contains(2L);
+    }
+
+    private long offered() {
+        return library.offer("m").orElseThrow().digests().weights().version();
     }
 
     private Optional<byte[]> ask(long version, int number) {
