Avoid an engine whose reports have stopped, and leave it sooner

An engine's VM freezes; its slot process falls silent, each entry goes by its own requests alone, takes the engine for empty, and even moves requests from one frozen engine to another (placed with a report 1,488 ms old). Callers leave after 3.2 s without an event, and the engine hears of it when it wakes. Ruled out: entries that do not close their connections (they do, within 10 ms). Reports to other failure domains go round in turn. PlacementTest: avoidsAnEngineWhoseReportsHaveStopped, takesOnlyItsPartOfAnEngineThatNobodyHearsOf (both failed before).

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -29,6 +29,7 @@
     private static final int MISDIRECTED = 421;
     private static final int SERVER_ERROR = 500;
     private static final Duration LEAST_STREAM_PATIENCE = Duration.ofMillis(1_300);
+    private static final Duration SILENT_PATIENCE = Duration.ofMillis(600);
     private static final double PATIENCE_TARGETS = 2.5;
     private static final double PATIENCE_SHARE_OF_TIME = 0.5;
 
@@ -41,6 +42,7 @@
     private final EventSplitter splitter = new EventSplitter(MAXIMUM_EVENT_BYTES);
     private Optional<HttpConnection> connection = Optional.empty();
     private Optional<Timer> patience = Optional.empty();
+    private Optional<Timer> silence = Optional.empty();
     private CompositeByteBuf held = Unpooled.compositeBuffer(64);
     private HttpHeaders headers = new DefaultHttpHeaders();
     private int status;
@@ -91,6 +93,9 @@
         handedOver = true;
         open.send(head(), Unpooled.wrappedBuffer(call.call().body()), this);
         watch(patienceFor());
+        if (call.route().kind().isStream()) {
+            silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE, this::leaveSilent));
+        }
     }
 
     @Override
@@ -375,9 +380,24 @@
         }
     }
 
+    /** An upstream of which nobody hears any more, and that sends nothing, most likely stands still. */
+    private void leaveSilent() {
+        if (done || firstByteNanos != 0) {
+            return;
+        }
+        boolean leave = candidate.load().isSilent(now()) && call.route().kind().isRepeatable() && call.mayGiveUp();
+        if (leave) {
+            spoilt("nothing came for " + ageMillis() + " ms, and the upstream's reports have stopped");
+            return;
+        }
+        silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE.dividedBy(2), this::leaveSilent));
+    }
+
     private void cancelPatience() {
         patience.ifPresent(Timer::cancel);
         patience = Optional.empty();
+        silence.ifPresent(Timer::cancel);
+        silence = Optional.empty();
     }
 
     private long now() {
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
@@ -1,6 +1,7 @@
 package org.galenahinge.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.BiConsumer;
@@ -30,6 +31,7 @@
     private final BiConsumer<NodeCard, byte[]> sender;
     private final Timers timers;
     private long nextFarNanos;
+    private int farTurn;
 
     private LoadAnnouncer(
             String zone,
@@ -76,22 +78,29 @@
 
     /** Tells what the engine says to those whose turn it is. */
     void reported(EngineReport report) {
-        List<NodeCard> entries = roster.nearestFirst();
         boolean far = timers.nanoTime() - nextFarNanos >= 0;
-        tell(report, entries.stream().filter(this::isNear).limit(MOST_NEAR));
+        tell(report, roster.inZone(zone).stream().limit(MOST_NEAR));
         if (far) {
-            tell(report, entries.stream().filter(entry -> !isNear(entry)).limit(MOST_FAR));
+            tell(report, nextFar().stream());
             nextFarNanos = timers.nanoTime() + FAR_EVERY.toNanos();
         }
     }
 
     /** Tells everybody: an engine that stops for loading must get no more requests, which would wait for its end. */
     void tellAll(EngineReport report) {
-        tell(report, roster.nearestFirst().stream().limit(MOST_AT_ONCE));
+        tell(report, roster.up().stream().limit(MOST_AT_ONCE));
     }
 
-    private boolean isNear(NodeCard entry) {
-        return entry.zone().equals(zone);
+    /** Those of the other failure domains whose turn it is. */
+    private List<NodeCard> nextFar() {
+        List<NodeCard> far =
+                roster.up().stream().filter(entry -> !entry.zone().equals(zone)).toList();
+        List<NodeCard> chosen = new ArrayList<>();
+        for (int number = 0; number < Math.min(far.size(), MOST_FAR); number++) {
+            chosen.add(far.get((farTurn + number) % far.size()));
+        }
+        farTurn = far.isEmpty() ? 0 : (farTurn + chosen.size()) % far.size();
+        return chosen;
     }
 
     private void tell(EngineReport report, Stream<NodeCard> entries) {
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -14,6 +14,9 @@
  */
 public final class UpstreamLoad {
     private static final Duration REPORT_VALID = Duration.ofMillis(1_200);
+    /** More than two reports to a distant node. */
+    private static final Duration SILENT_AFTER = Duration.ofSeconds(1);
+
     private static final Duration PROOF_WITHIN = Duration.ofMillis(1_500);
     private static final Duration UNREPORTED_REFUSAL_REST = Duration.ofMillis(600);
     private static final double DEFAULT_STAY_MILLIS = 1_500;
@@ -128,6 +131,16 @@
         return report.isEmpty() && nowNanos - sinceNanos < PROOF_WITHIN.toNanos();
     }
 
+    /**
+     * Tells whether reports have stopped: the upstream's VM may stand still, be cut off, or have lost its slot process.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return whether there were reports, and the next ones are overdue
+     */
+    public boolean isSilent(long nowNanos) {
+        return report.isPresent() && nowNanos - reportNanos >= SILENT_AFTER.toNanos();
+    }
+
     /**
      * Returns how old the last report is.
      *
@@ -254,18 +267,21 @@
 
     /**
      * Tells whether this node may still take one of the places that the last report showed free. All nodes see the same
-     * free places, so each takes only its part until the next report.
+     * free places, so each takes only its part until the next report, and its part of all places while none is fresh.
      *
      * @param slots how many requests the upstream works on at once
      * @param nodes how many nodes send to it
      * @param nowNanos the time, in nanoseconds
-     * @return whether the part is not yet used up; also true while no report is fresh
+     * @return whether the part is not yet used up
      */
     public boolean hasShareLeft(int slots, int nodes, long nowNanos) {
         return report(nowNanos)
-                .map(known -> (slots - known.running() - known.waiting()) / Math.max(1, nodes))
-                .map(share -> sentSinceReport < Math.max(1, share))
-                .orElse(true);
+                .map(known -> sentSinceReport < share(slots - known.running() - known.waiting(), nodes))
+                .orElseGet(() -> own.size() < share(slots, nodes));
+    }
+
+    private static int share(int places, int nodes) {
+        return Math.max(1, places / Math.max(1, nodes));
     }
 
     /**
--- a/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
@@ -62,6 +62,8 @@
                 .sum();
         assertThat(heard).containsEntry("near-0", 40);
         assertThat(far).isBetween(1, 10 * 16);
+        int turns = 160 / Math.max(16, others);
+        assertThat(heard.values()).allMatch(count -> count >= turns);
     }
 
     /** Whoever has not heard that an engine stops for loading still sends it requests, which wait until it is done. */
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -15,6 +15,7 @@
 import org.galenahinge.wire.WireAddress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class PlacementTest {
@@ -152,6 +153,32 @@
         assertThat(sent).isEqualTo(FIGURES.slots());
     }
 
+    /** A VM freezes with its engine, which looks idle to nodes that go by their own requests: others are chosen. */
+    @ParameterizedTest
+    @CsvSource({"100, silent", "1100, other", "1500, other"})
+    void avoidsAnEngineWhoseReportsHaveStopped(long ageMillis, String expected) {
+        Candidate silent = engine("silent", "a", 1);
+        long heard = NOW - Duration.ofMillis(ageMillis).toNanos();
+        silent.load().reported(new LoadReport(2, 0, 2_000, 1, false, Optional.empty(), held(1)), heard);
+        Candidate other = engine("other", "b", 1);
+        other.load().reported(new LoadReport(8, 0, 8_000, 1, false, Optional.empty(), held(1)), NOW);
+        assertThat(chosen(List.of(silent, other), demand(500))).isEqualTo(expected);
+    }
+
+    /** No node hears of an engine any more: together they send it no more than it has places. */
+    @Test
+    void takesOnlyItsPartOfAnEngineThatNobodyHearsOf() {
+        Placement own = Placement.create("a", () -> 8, 1);
+        Candidate silent = engine("silent", "a", 1);
+        silent.load().reported(new LoadReport(2, 0, 2_000, 1, false, Optional.empty(), held(1)), NOW - 2_000_000_000L);
+        int sent = 0;
+        while (own.choose(List.of(silent), Optional.of(FIGURES), demand(500), NOW) instanceof Choice.Chosen) {
+            silent.load().sent(new Object(), 500, NOW);
+            sent++;
+        }
+        assertThat(sent).isEqualTo(FIGURES.slots() / 8);
+    }
+
     private String chosen(List<Candidate> candidates, Demand demand) {
         return ((Choice.Chosen) choose(candidates, demand))
                 .candidate()
