Take back: requests at silent engines get the next free place

Cause of what remains: callers that had waited 1.5 s for engines that load leave 1.2 s after the freeze, before anything can tell a frozen VM from a late report; the frozen engine cannot hear that they left.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -94,7 +94,7 @@
         open.send(head(), Unpooled.wrappedBuffer(call.call().body()), this);
         watch(patienceFor());
         if (call.route().kind().isStream()) {
-            silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE, this::watchSilence));
+            silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE, this::leaveSilent));
         }
     }
 
@@ -176,12 +176,6 @@
         close(false);
     }
 
-    /** Gives the upstream up, which has fallen silent. */
-    void leave() {
-        spoilt("the upstream's reports have stopped, and nothing came for "
-                + Duration.ofNanos(now() - lastProgressNanos).toMillis() + " ms");
-    }
-
     void resume() {
         connection.ifPresent(open -> open.setReading(true));
     }
@@ -387,17 +381,16 @@
     }
 
     /** An upstream of which nobody hears any more, and that sends nothing, most likely stands still. */
-    private void watchSilence() {
-        if (done) {
+    private void leaveSilent() {
+        if (done || firstByteNanos != 0) {
             return;
         }
-        boolean quiet = now() - lastProgressNanos >= SILENT_PATIENCE.toNanos();
-        if (quiet && candidate.load().isSilent(now()) && call.route().kind().isRepeatable()) {
-            call.stuck();
-        } else {
-            call.goesOn();
+        boolean leave = candidate.load().isSilent(now()) && call.route().kind().isRepeatable() && call.mayGiveUp();
+        if (leave) {
+            spoilt("nothing came for " + ageMillis() + " ms, and the upstream's reports have stopped");
+            return;
         }
-        silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE.dividedBy(2), this::watchSilence));
+        silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE.dividedBy(2), this::leaveSilent));
     }
 
     private void cancelPatience() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedCall.java
@@ -49,7 +49,6 @@
     private int sent;
     private boolean mayHaveRun;
     private boolean waiting;
-    private boolean moving;
     private long waitedMillis;
     private boolean headSent;
     private boolean ended;
@@ -125,32 +124,6 @@
         return true;
     }
 
-    /** Takes in that its upstream has fallen silent: the next free place elsewhere is its own. */
-    void stuck() {
-        if (!ended && desk.stuck().add(this)) {
-            gateway.sweepSoon();
-        }
-    }
-
-    /** Takes in that its upstream goes on. */
-    void goesOn() {
-        desk.stuck().remove(this);
-    }
-
-    /** Tries to leave a silent upstream for another one. */
-    boolean tryMoving() {
-        if (ended || attempt.isEmpty()) {
-            return true;
-        }
-        moving = true;
-        boolean moves = mayGiveUp();
-        if (moves) {
-            attempt.get().leave();
-        }
-        moving = false;
-        return moves;
-    }
-
     /** Takes in that it has waited as long as it may; it has left the queue. */
     void waitedTooLong() {
         waiting = false;
@@ -269,7 +242,7 @@
     }
 
     private Choice choose() {
-        boolean late = !moving && times.isLate(gateway.timers().nanoTime());
+        boolean late = times.isLate(gateway.timers().nanoTime());
         return gateway.choose(admitted.service(), call.head().prompt(), tried, late);
     }
 
@@ -316,7 +289,6 @@
             return;
         }
         tried.add(id);
-        desk.stuck().remove(this);
         OptionalLong exactVersion = call.head().prompt().map(this::exactVersion).orElse(OptionalLong.empty());
         Attempt next = new Attempt(this, candidate, pool.get(), chosen.predictedMillis(), exactVersion);
         attempt = Optional.of(next);
@@ -410,9 +382,6 @@
         ended = true;
         limitTimer.ifPresent(Timer::cancel);
         gateway.stopAwaiting(this);
-        if (desk != null) {
-            desk.stuck().remove(this);
-        }
         gateway.metrics().ended(outcome);
         if (waiting) {
             waiting = false;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -25,7 +25,6 @@
 import org.galenahinge.placement.Placement;
 import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.RepeatBudget;
-import org.galenahinge.placement.StuckCalls;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
@@ -184,7 +183,6 @@
                 service,
                 name -> new ServiceDesk(
                         new AdmissionQueue<>(WAITING_CAPACITY),
-                        new StuckCalls<>(WAITING_CAPACITY),
                         RepeatBudget.create(settings.repeats(), timers.nanoTime())));
     }
 
@@ -216,10 +214,7 @@
     /** Offers free places to the waiting requests. */
     void serveWaiting() {
         long now = timers.nanoTime();
-        for (ServiceDesk desk : desks.values()) {
-            desk.stuck().serve(ForwardedCall::tryMoving);
-            desk.waiting().serve(now, ForwardedCall::tryWaiting);
-        }
+        desks.values().forEach(desk -> desk.waiting().serve(now, ForwardedCall::tryWaiting));
     }
 
     private void sweep() {
@@ -229,7 +224,7 @@
         for (ServiceDesk desk : desks.values()) {
             desk.waiting().expire(now).forEach(ForwardedCall::waitedTooLong);
         }
-        if (!desks.values().stream().allMatch(ServiceDesk::isIdle)) {
+        if (desks.values().stream().anyMatch(desk -> desk.waiting().size() > 0)) {
             sweepSoon();
         }
     }
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -15,6 +15,9 @@
     /** What an upstream in another failure domain must be faster by to be chosen, in milliseconds. */
     private static final double BORDER_HANDICAP_MILLIS = 40;
 
+    /** What an upstream whose reports have stopped must be faster by: its VM may stand still. */
+    private static final double SILENT_HANDICAP_MILLIS = 400;
+
     private static final int PLACES_KEPT_FROM_LATE = 2;
     private static final double OVERRUN_WEIGHT = 0.3;
     private static final double TIE_MILLIS = 8;
@@ -55,9 +58,6 @@
      * @return the choice
      */
     public Choice choose(List<Candidate> candidates, Optional<EngineFigures> engine, Demand demand, long nowNanos) {
-        boolean anyHeard = candidates.stream()
-                .anyMatch(candidate -> isAble(candidate, engine, demand, nowNanos)
-                        && !candidate.load().isSilent(nowNanos));
         Candidate best = null;
         double bestScore = Double.MAX_VALUE;
         double bestPredicted = 0;
@@ -69,15 +69,12 @@
                 continue;
             }
             able++;
-            // The VM of an upstream whose reports have stopped may stand still; when all are silent, it is rather this
-            // node.
-            boolean avoided = anyHeard && candidate.load().isSilent(nowNanos);
-            if (avoided || !hasPlace(candidate, engine, demand, nowNanos)) {
+            if (!hasPlace(candidate, engine, demand, nowNanos)) {
                 continue;
             }
             double predicted = predict(candidate, engine, demand, nowNanos);
             double score = predicted
-                    + handicap(candidate)
+                    + handicap(candidate, nowNanos)
                     + overrunMillis(candidate, engine, demand, predicted, nowNanos) * OVERRUN_WEIGHT
                     + random.nextDouble() * TIE_MILLIS;
             if (score < bestScore) {
@@ -188,8 +185,9 @@
         return Math.max(0, predicted + writing - untilLoad.get().toMillis());
     }
 
-    private double handicap(Candidate candidate) {
-        return candidate.upstream().zone().equals(zone) ? 0 : BORDER_HANDICAP_MILLIS;
+    private double handicap(Candidate candidate, long nowNanos) {
+        double border = candidate.upstream().zone().equals(zone) ? 0 : BORDER_HANDICAP_MILLIS;
+        return border + (candidate.load().isSilent(nowNanos) ? SILENT_HANDICAP_MILLIS : 0);
     }
 
     private static String nowhere(List<Candidate> candidates, Demand demand) {
