--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Holds the newest item of each key. Joins by revision: order, repeats and loss of what comes in cannot hurt, and no key
@@ -68,12 +69,30 @@
      * @return the changes by revision, or all items where removals since then may be forgotten
      */
     public Changes changesAfter(long after) {
-        boolean whole = after < forgottenRevision || after == 0;
         List<FactItem> changes = items.values().stream()
-                .filter(item -> whole ? !item.removed() : item.revision() > after)
+                .filter(changedAfter(after))
                 .sorted(Comparator.comparingLong(FactItem::revision))
                 .toList();
-        return new Changes(changes, whole, revision);
+        return new Changes(changes, isWhole(after), revision);
+    }
+
+    /**
+     * Tells whether {@link #changesAfter} has any items.
+     *
+     * @param after the revision that the asker holds
+     * @return whether something changed
+     */
+    public boolean hasChangesAfter(long after) {
+        return items.values().stream().anyMatch(changedAfter(after));
+    }
+
+    /** Whether removals that the asker does not know of may be forgotten. */
+    private boolean isWhole(long after) {
+        return after < forgottenRevision || after == 0;
+    }
+
+    private Predicate<FactItem> changedAfter(long after) {
+        return isWhole(after) ? item -> !item.removed() : item -> item.revision() > after;
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -187,15 +187,6 @@
         return holders * 2 > held.size();
     }
 
-    /**
-     * Returns the models of which versions were named.
-     *
-     * @return a view, sorted
-     */
-    public Collection<String> models() {
-        return Collections.unmodifiableCollection(named.keySet());
-    }
-
     private void apply(FactItem item, Fact fact) {
         if (fact instanceof Fact.Configured configured) {
             configure(configured.catalog());
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -93,7 +93,7 @@
         handedOver = true;
         open.send(head(), Unpooled.wrappedBuffer(call.call().body()), this);
         watch(patienceFor());
-        if (call.route().kind().isStream()) {
+        if (call.route().kind().isStream() && call.route().kind().isRepeatable()) {
             silence = Optional.of(call.gateway().timers().schedule(SILENT_PATIENCE, this::leaveSilent));
         }
     }
@@ -385,8 +385,7 @@
         if (done || firstByteNanos != 0) {
             return;
         }
-        boolean leave = candidate.load().isSilent(now()) && call.route().kind().isRepeatable() && call.mayGiveUp();
-        if (leave) {
+        if (candidate.load().isSilent(now()) && call.mayGiveUp()) {
             spoilt("nothing came for " + ageMillis() + " ms, and the upstream's reports have stopped");
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/history/LogLine.java
+++ b/galenahinge/src/main/java/org/galenahinge/history/LogLine.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One line that a process has logged.
@@ -17,13 +19,14 @@
  * @param fields all other fields in their order, as text
  */
 public record LogLine(long atMillis, String node, String event, Map<String, String> fields) {
+    private static final Set<String> OWN_PARTS = Set.of("at", "node", "event");
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** Checks the parts. */
+    /** Checks and copies the parts. */
     public LogLine {
         Objects.requireNonNull(node, "node");
         Objects.requireNonNull(event, "event");
-        Objects.requireNonNull(fields, "fields");
+        fields = Collections.unmodifiableMap(new LinkedHashMap<>(fields));
     }
 
     /**
@@ -54,7 +57,7 @@
         line.fields()
                 .forEachRemaining(
                         field -> fields.put(field.getKey(), field.getValue().asText()));
-        fields.keySet().removeIf(name -> name.equals("at") || name.equals("node") || name.equals("event"));
+        fields.keySet().removeAll(OWN_PARTS);
         return Optional.of(new LogLine(
                 line.get("at").asLong(),
                 line.get("node").asText(),
--- a/galenahinge/src/main/java/org/galenahinge/history/RequestHistory.java
+++ b/galenahinge/src/main/java/org/galenahinge/history/RequestHistory.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What the logs of several nodes tell of one request: its own lines in order, what its nodes learned around that time,
@@ -35,12 +36,10 @@
             "facts_stale",
             "facts_source_failed");
 
-    private final String requestId;
     private final List<LogLine> own;
     private final List<LogLine> surroundings;
 
-    private RequestHistory(String requestId, List<LogLine> own, List<LogLine> surroundings) {
-        this.requestId = requestId;
+    private RequestHistory(List<LogLine> own, List<LogLine> surroundings) {
         this.own = own;
         this.surroundings = surroundings;
     }
@@ -97,29 +96,23 @@
         public RequestHistory finish() {
             List<LogLine> ordered = new ArrayList<>(own);
             ordered.sort(Comparator.comparingLong(LogLine::atMillis));
-            List<LogLine> near = others.values().stream()
+            return new RequestHistory(List.copyOf(ordered), ordered.isEmpty() ? List.of() : near(ordered));
+        }
+
+        private List<LogLine> near(List<LogLine> ordered) {
+            long from = ordered.get(0).atMillis() - AROUND_MILLIS;
+            long to = ordered.get(ordered.size() - 1).atMillis() + AROUND_MILLIS;
+            Set<String> nodes = ordered.stream().map(LogLine::node).collect(Collectors.toSet());
+            Set<String> upstreams = upstreamsOf(ordered);
+            return others.values().stream()
                     .flatMap(Collection::stream)
-                    .filter(line -> isNear(line, ordered))
+                    .filter(line -> line.atMillis() >= from && line.atMillis() <= to)
+                    .filter(line -> nodes.contains(line.node())
+                            || line.fields().values().stream().anyMatch(upstreams::contains)
+                            || LOADING.contains(line.event()))
                     .sorted(Comparator.comparingLong(LogLine::atMillis))
                     .limit(SURROUNDINGS_SHOWN)
                     .toList();
-            return new RequestHistory(requestId, List.copyOf(ordered), near);
-        }
-
-        private static boolean isNear(LogLine line, List<LogLine> own) {
-            if (own.isEmpty()) {
-                return false;
-            }
-            boolean inTime = line.atMillis() >= own.get(0).atMillis() - AROUND_MILLIS
-                    && line.atMillis() <= own.get(own.size() - 1).atMillis() + AROUND_MILLIS;
-            if (!inTime) {
-                return false;
-            }
-            boolean sameNode = own.stream().anyMatch(one -> one.node().equals(line.node()));
-            boolean sameUpstream = own.stream()
-                    .map(one -> one.field("upstream"))
-                    .anyMatch(upstream -> !upstream.isEmpty() && line.fields().containsValue(upstream));
-            return sameNode || sameUpstream || LOADING.contains(line.event());
         }
     }
 
@@ -237,7 +230,7 @@
     }
 
     private String after(Set<String> events) {
-        Set<String> upstreams = upstreams();
+        Set<String> upstreams = upstreamsOf(own);
         return surroundings.stream()
                 .filter(line -> events.contains(line.event()))
                 .filter(line -> line.field("upstream").isEmpty() || upstreams.contains(line.field("upstream")))
@@ -247,11 +240,11 @@
                 .orElse("");
     }
 
-    private Set<String> upstreams() {
-        return Set.copyOf(own.stream()
+    private static Set<String> upstreamsOf(List<LogLine> lines) {
+        return lines.stream()
                 .map(line -> line.field("upstream"))
                 .filter(upstream -> !upstream.isEmpty())
-                .toList());
+                .collect(Collectors.toSet());
     }
 
     private Optional<LogLine> last(String event) {
@@ -262,9 +255,4 @@
         String value = line.field(field);
         return value.matches("-?\\d{1,18}") ? Long.parseLong(value) : 0;
     }
-
-    @Override
-    public String toString() {
-        return "RequestHistory{" + requestId + ", lines=" + own.size() + "}";
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/http/Exchange.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/Exchange.java
@@ -159,7 +159,7 @@
             if (done.isSuccess()) {
                 exchange.connected(((ChannelFuture) done).channel(), server, request, listener);
             } else {
-                listener.notSent(messageOf(done.cause()));
+                listener.notSent(ErrorText.of(done.cause()));
             }
         });
         return exchange;
@@ -204,10 +204,6 @@
                 });
     }
 
-    private static String messageOf(Throwable error) {
-        return error.getMessage() == null ? error.getClass().getSimpleName() : error.getMessage();
-    }
-
     private static final class Receiver extends SimpleChannelInboundHandler<HttpObject> {
         private final Listener listener;
         private boolean ended;
@@ -251,7 +247,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             boolean network = cause instanceof IOException;
-            broken(context, network ? messageOf(cause) : "an error while reading the answer: " + cause);
+            broken(context, network ? ErrorText.of(cause) : "an error while reading the answer: " + cause);
         }
 
         private void broken(ChannelHandlerContext context, String detail) {
--- a/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
@@ -130,7 +130,7 @@
                 receiver.connection = connection;
                 opening.opened(connection);
             } else {
-                opening.failed(messageOf(done.cause()));
+                opening.failed(ErrorText.of(done.cause()));
             }
         });
     }
@@ -197,7 +197,7 @@
         }
         if (message.decoderResult().isFailure()) {
             breakOff("the answer is malformed: "
-                    + messageOf(message.decoderResult().cause()));
+                    + ErrorText.of(message.decoderResult().cause()));
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -275,10 +275,6 @@
         return Duration.ofSeconds(seconds);
     }
 
-    private static String messageOf(Throwable error) {
-        return error.getMessage() == null ? error.getClass().getSimpleName() : error.getMessage();
-    }
-
     /** Closes a connection's channel by itself where nobody was told of it yet. */
     private static final class Receiver extends SimpleChannelInboundHandler<HttpObject> {
         private HttpConnection connection;
@@ -320,7 +316,7 @@
                 return;
             }
             String kind = cause instanceof IOException ? "the connection broke: " : "an error while reading: ";
-            connection.breakOff(kind + messageOf(cause));
+            connection.breakOff(kind + ErrorText.of(cause));
         }
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/WholeAnswer.java
@@ -6,10 +6,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
+import java.util.function.IntFunction;
 import org.galenahinge.wire.NetworkThreads;
 
 /** Collects an answer that is wanted whole and within a bound. */
 public final class WholeAnswer {
+    private static final int OK = 200;
+
     private WholeAnswer() {}
 
     /**
@@ -56,6 +59,19 @@
             return status;
         }
 
+        /**
+         * Returns the body of a successful answer, which must not be changed.
+         *
+         * @param otherwise makes the error for an answer with another status than 200, from that status
+         * @return the bytes
+         */
+        public byte[] bodyIfOk(IntFunction<? extends RuntimeException> otherwise) {
+            if (status != OK) {
+                throw otherwise.apply(status);
+            }
+            return body;
+        }
+
         /**
          * Returns the body, which must not be changed.
          *
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.net.URI;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -150,12 +149,7 @@
 
     private void ask(WireAddress other) {
         String path = "/members?card=" + URLEncoder.encode(self.text(), StandardCharsets.UTF_8);
-        WholeAnswer.ask(
-                        threads,
-                        URI.create("http://" + other),
-                        Exchange.Request.get(path),
-                        DISCOVERY_WITHIN,
-                        MAXIMUM_MEMBERS_BYTES)
+        WholeAnswer.ask(threads, other.toHttpUri(), Exchange.Request.get(path), DISCOVERY_WITHIN, MAXIMUM_MEMBERS_BYTES)
                 .whenComplete((answer, error) -> {
                     if (error == null && answer.status() == 200) {
                         String cards = new String(answer.body(), StandardCharsets.UTF_8);
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -14,7 +14,6 @@
 import org.galenahinge.catalog.WeightsOrigin;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.daemon.Incarnation;
-import org.galenahinge.facts.Fact;
 import org.galenahinge.facts.FactFollower;
 import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FactLog;
@@ -80,15 +79,11 @@
         this.membership = new EntryMembership(self, settings.seeds(), roster, timers, log, this::rosterChanged, seed);
         this.facts = FleetFacts.create(platform.decoder(), timers, log);
         FactLog items = new FactLog();
-        Predicates predicates = new Predicates(platform);
         this.follower = FactFollower.create(
                 platform.store(threads), new EntryPeers(), items, this::itemsChanged, timers, log, seed);
-        this.relay = new FactRelay(items, follower, timers, this::cardsUp, predicates::isLarge);
+        this.relay = new FactRelay(items, follower, timers, this::cardsUp);
         GatewaySettings bounds = new GatewaySettings(
-                settings.zone(),
-                settings.repeats(),
-                settings.bounds().versionWithin(),
-                settings.bounds().stopWithin());
+                settings.zone(), settings.repeats(), settings.bounds().versionWithin());
         this.gateway = Gateway.create(
                 bounds, loop, facts, platform.translator(), timers, log, metrics, membership::known, seed);
         WeightsRoutes routes = new WeightsRoutes(
@@ -289,7 +284,6 @@
                     new FactRelay.Ask(
                             NodeQuery.number(query, "after"),
                             Duration.ofMillis(NodeQuery.number(query, "wait")),
-                            NodeQuery.flag(query, "slim"),
                             NodeQuery.flag(query, "packed")),
                     reply);
             return;
@@ -318,20 +312,7 @@
         @Override
         public Optional<FactStore> source(int failures) {
             return PeerChoice.choose(settings, roster, failures)
-                    .map(peer -> new PeerFacts(
-                            threads,
-                            peer.address().toString(),
-                            peer.address(),
-                            false,
-                            peer.far(),
-                            membership::introduced));
-        }
-    }
-
-    /** Tells which items only entries need. */
-    private record Predicates(NodePlatform platform) {
-        boolean isLarge(FactItem item) {
-            return platform.decoder().decode(item) instanceof Fact.Configured;
+                    .map(peer -> new PeerFacts(threads, peer.address(), peer.far(), membership::introduced));
         }
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryWeights.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryWeights.java
@@ -3,7 +3,6 @@
 import com.google.common.io.BaseEncoding;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -28,7 +27,6 @@
 
     private static final Duration MARGIN = Duration.ofMillis(900);
     private static final long MAXIMUM_BYTES = 8L << 20;
-    private static final int OK = 200;
     private static final BaseEncoding HEX = BaseEncoding.base16().lowerCase();
 
     private final NetworkThreads threads;
@@ -126,13 +124,8 @@
     }
 
     private CompletionStage<byte[]> get(String path, Duration timeout) {
-        URI uri = URI.create("http://" + address);
-        return WholeAnswer.ask(threads, uri, Exchange.Request.get(path), timeout, MAXIMUM_BYTES)
-                .thenApply(answer -> {
-                    if (answer.status() != OK) {
-                        throw new SupplyException("entry " + address + " answered " + answer.status());
-                    }
-                    return answer.body();
-                });
+        return WholeAnswer.ask(threads, address.toHttpUri(), Exchange.Request.get(path), timeout, MAXIMUM_BYTES)
+                .thenApply(answer ->
+                        answer.bodyIfOk(status -> new SupplyException("entry " + address + " answered " + status)));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -2,13 +2,12 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.galenahinge.concurrent.Timers;
+import org.galenahinge.concurrent.Waiters;
 import org.galenahinge.facts.FactFollower;
 import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FactLog;
@@ -26,23 +25,16 @@
     private final FactFollower follower;
     private final Timers timers;
     private final Supplier<List<String>> nodes;
-    private final Predicate<FactItem> large;
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final Waiters<Waiting> waiting;
 
-    private record Waiting(
-            Ask ask, Duration ageAsked, long sinceNanos, Consumer<HttpDocument> reply, Timers.Timer timer) {}
+    private record Waiting(Ask ask, Duration ageAsked, long sinceNanos, Consumer<HttpDocument> reply) {}
 
-    FactRelay(
-            FactLog facts,
-            FactFollower follower,
-            Timers timers,
-            Supplier<List<String>> nodes,
-            Predicate<FactItem> large) {
+    FactRelay(FactLog facts, FactFollower follower, Timers timers, Supplier<List<String>> nodes) {
         this.facts = Objects.requireNonNull(facts, "facts");
         this.follower = Objects.requireNonNull(follower, "follower");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.nodes = Objects.requireNonNull(nodes, "nodes");
-        this.large = Objects.requireNonNull(large, "large");
+        this.waiting = new Waiters<>(timers, MAXIMUM_WAITING);
     }
 
     /**
@@ -50,10 +42,9 @@
      *
      * @param after the revision that it holds
      * @param patience how long it waits for a change
-     * @param slim whether it does without the large items
      * @param packed whether the answer is to be compressed, because it crosses a thin link
      */
-    record Ask(long after, Duration patience, boolean slim, boolean packed) {}
+    record Ask(long after, Duration patience, boolean packed) {}
 
     /**
      * Answers a node: when there is a change, or when these facts are known to be fresher than when it asked.
@@ -66,35 +57,23 @@
             reply.accept(HttpDocument.text(503, "text/plain", "no facts are known yet\n"));
             return;
         }
-        boolean noUseInWaiting = follower.isStale() || waiting.size() >= MAXIMUM_WAITING;
+        boolean noUseInWaiting = follower.isStale() || waiting.isFull();
         if (hasNews(ask) || noUseInWaiting || ask.patience().isZero()) {
             answer(ask, reply);
             return;
         }
         Duration wait = ask.patience().compareTo(LONGEST_WAIT) < 0 ? ask.patience() : LONGEST_WAIT;
-        Waiting[] holder = new Waiting[1];
-        Timers.Timer timer = timers.schedule(wait, () -> {
-            waiting.remove(holder[0]);
-            answer(ask, reply);
-        });
-        holder[0] = new Waiting(ask, follower.age(), timers.nanoTime(), reply, timer);
-        waiting.add(holder[0]);
+        Waiting one = new Waiting(ask, follower.age(), timers.nanoTime(), reply);
+        waiting.add(one, wait, this::answer);
     }
 
     /** Answers those who wait, because there is news or these facts are fresher. */
     void refreshed() {
-        for (Waiting one : List.copyOf(waiting)) {
-            if (hasNews(one.ask()) || isFresher(one)) {
-                waiting.remove(one);
-                one.timer().cancel();
-                answer(one.ask(), one.reply());
-            }
-        }
+        waiting.release(one -> hasNews(one.ask()) || isFresher(one), this::answer);
     }
 
     private boolean hasNews(Ask ask) {
-        return ask.after() == 0
-                || facts.changesAfter(ask.after()).items().stream().anyMatch(item -> isFor(item, ask.slim()));
+        return ask.after() == 0 || facts.hasChangesAfter(ask.after());
     }
 
     private boolean isFresher(Waiting one) {
@@ -103,6 +82,10 @@
         return gained.compareTo(PROGRESS) > 0;
     }
 
+    private void answer(Waiting one) {
+        answer(one.ask(), one.reply());
+    }
+
     private void answer(Ask ask, Consumer<HttpDocument> reply) {
         FactLog.Changes changes = facts.changesAfter(ask.after());
         FactReading.Builder reading = FactReading.newBuilder()
@@ -111,19 +94,13 @@
                 .setAgeMillis(follower.age().toMillis())
                 .addAllNodes(nodes.get());
         for (FactItem item : changes.items()) {
-            if (isFor(item, ask.slim())) {
-                reading.addItems(FactEntry.newBuilder()
-                        .setKey(item.key())
-                        .setValue(ByteString.copyFrom(item.value()))
-                        .setRevision(item.revision())
-                        .setRemoved(item.removed()));
-            }
+            reading.addItems(FactEntry.newBuilder()
+                    .setKey(item.key())
+                    .setValue(ByteString.copyFrom(item.value()))
+                    .setRevision(item.revision())
+                    .setRemoved(item.removed()));
         }
         byte[] bytes = reading.build().toByteArray();
         reply.accept(HttpDocument.bytes(200, ask.packed() ? Packing.pack(bytes) : bytes));
     }
-
-    private boolean isFor(FactItem item, boolean slim) {
-        return !slim || !large.test(item);
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
@@ -79,9 +79,9 @@
     /** Tells what the engine says to those whose turn it is. */
     void reported(EngineReport report) {
         boolean far = timers.nanoTime() - nextFarNanos >= 0;
-        tell(report, roster.inZone(zone).stream().limit(MOST_NEAR));
+        List<NodeCard> others = far ? nextFar() : List.of();
+        tell(report, Stream.concat(roster.inZone(zone).stream().limit(MOST_NEAR), others.stream()));
         if (far) {
-            tell(report, nextFar().stream());
             nextFarNanos = timers.nanoTime() + FAR_EVERY.toNanos();
         }
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFacts.java
@@ -1,7 +1,6 @@
 package org.galenahinge.node;
 
 import java.io.IOException;
-import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -23,49 +22,35 @@
 final class PeerFacts implements FactStore {
     private static final Duration MARGIN = Duration.ofMillis(350);
     private static final long MAXIMUM_BYTES = 16L << 20;
-    private static final int OK = 200;
 
     private final NetworkThreads threads;
-    private final String name;
     private final WireAddress address;
-    private final boolean slim;
     private final boolean packed;
     private final Consumer<List<String>> nodesHeard;
 
-    PeerFacts(
-            NetworkThreads threads,
-            String name,
-            WireAddress address,
-            boolean slim,
-            boolean packed,
-            Consumer<List<String>> nodesHeard) {
+    PeerFacts(NetworkThreads threads, WireAddress address, boolean packed, Consumer<List<String>> nodesHeard) {
         this.threads = Objects.requireNonNull(threads, "threads");
-        this.name = Objects.requireNonNull(name, "name");
         this.address = Objects.requireNonNull(address, "address");
-        this.slim = slim;
         this.packed = packed;
         this.nodesHeard = Objects.requireNonNull(nodesHeard, "nodesHeard");
     }
 
     @Override
     public CompletionStage<Reading> read(long after, Duration wait) {
-        String path = "/facts?after=" + after + "&wait=" + wait.toMillis() + "&slim=" + slim + "&packed=" + packed;
-        URI uri = URI.create("http://" + address);
-        return WholeAnswer.ask(threads, uri, Exchange.Request.get(path), wait.plus(MARGIN), MAXIMUM_BYTES)
+        String path = "/facts?after=" + after + "&wait=" + wait.toMillis() + "&packed=" + packed;
+        return WholeAnswer.ask(
+                        threads, address.toHttpUri(), Exchange.Request.get(path), wait.plus(MARGIN), MAXIMUM_BYTES)
                 .handle((answer, error) -> {
                     if (error != null) {
                         throw new FactReadException(Cause.SILENT, String.valueOf(error.getMessage()));
                     }
-                    if (answer.status() != OK) {
-                        throw new FactReadException(Cause.REFUSED, "status " + answer.status());
-                    }
-                    return parse(answer.body());
+                    return parse(answer.bodyIfOk(status -> new FactReadException(Cause.REFUSED, "status " + status)));
                 });
     }
 
     @Override
     public String name() {
-        return name;
+        return address.toString();
     }
 
     private Reading parse(byte[] bytes) {
--- a/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/WeightsDesk.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
@@ -11,6 +10,7 @@
 import java.util.function.Supplier;
 import org.galenahinge.catalog.EngineFigures;
 import org.galenahinge.concurrent.Timers;
+import org.galenahinge.concurrent.Waiters;
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.http.HttpDocument;
 import org.galenahinge.http.HttpServer;
@@ -35,16 +35,16 @@
     private final WeightsLibrary shelves;
     private final Timers timers;
     private final Supplier<List<String>> nodes;
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final Waiters<Waiting> waiting;
 
-    private record Waiting(
-            Supplier<Optional<Offer>> offer, String upstream, Consumer<HttpDocument> reply, Timers.Timer timer) {}
+    private record Waiting(Supplier<Optional<Offer>> offer, String upstream, Consumer<HttpDocument> reply) {}
 
     WeightsDesk(FleetFacts facts, WeightsLibrary shelves, Timers timers, Supplier<List<String>> nodes) {
         this.facts = Objects.requireNonNull(facts, "facts");
         this.shelves = Objects.requireNonNull(shelves, "shelves");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.nodes = Objects.requireNonNull(nodes, "nodes");
+        this.waiting = new Waiters<>(timers, MOST_WAITING);
         shelves.onChange(this::manifestCame);
     }
 
@@ -100,34 +100,24 @@
     private void await(Supplier<Optional<Offer>> offer, QueryStringDecoder query, Consumer<HttpDocument> reply) {
         Duration wait = Duration.ofMillis(Math.min(NodeQuery.number(query, "wait"), LONGEST_WAIT.toMillis()));
         String upstream = NodeQuery.text(query, "upstream");
-        if (offer.get().isPresent() || waiting.size() >= MOST_WAITING || wait.isZero()) {
-            answer(offer.get(), upstream, reply);
+        Waiting one = new Waiting(offer, upstream, reply);
+        if (offer.get().isPresent() || waiting.isFull() || wait.isZero()) {
+            answer(one);
             return;
         }
-        Waiting[] holder = new Waiting[1];
-        Timers.Timer timer = timers.schedule(wait, () -> {
-            waiting.remove(holder[0]);
-            answer(offer.get(), upstream, reply);
-        });
-        holder[0] = new Waiting(offer, upstream, reply, timer);
-        waiting.add(holder[0]);
+        waiting.add(one, wait, this::answer);
     }
 
     private void manifestCame() {
-        for (Waiting one : List.copyOf(waiting)) {
-            Optional<Offer> offer = one.offer().get();
-            if (offer.isPresent()) {
-                waiting.remove(one);
-                one.timer().cancel();
-                answer(offer, one.upstream(), one.reply());
-            }
-        }
+        waiting.release(one -> one.offer().get().isPresent(), this::answer);
     }
 
-    private void answer(Optional<Offer> offer, String upstream, Consumer<HttpDocument> reply) {
+    private void answer(Waiting one) {
+        Optional<Offer> offer = one.offer().get();
         Optional<WeightsDigests> digests = offer.map(Offer::digests);
         Duration age = offer.map(Offer::age).orElse(Duration.ZERO);
-        reply.accept(HttpDocument.bytes(200, EntryWeights.write(digests, age, plan(digests, upstream), nodes.get())));
+        byte[] answer = EntryWeights.write(digests, age, plan(digests, one.upstream()), nodes.get());
+        one.reply().accept(HttpDocument.bytes(200, answer));
     }
 
     private LoadPlan plan(Optional<WeightsDigests> digests, String upstream) {
--- a/galenahinge/src/main/java/org/galenahinge/reader/HttpReader.java
+++ b/galenahinge/src/main/java/org/galenahinge/reader/HttpReader.java
@@ -10,8 +10,6 @@
 
 /** Reads bounded documents over HTTP. Never writes. */
 public final class HttpReader {
-    private static final int OK = 200;
-
     private final NetworkThreads threads;
 
     private HttpReader(NetworkThreads threads) {
@@ -40,12 +38,8 @@
         Objects.requireNonNull(uri, "uri");
         String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
         Exchange.Request request = Exchange.Request.get(uri.getRawPath() + query);
-        return WholeAnswer.ask(threads, uri, request, timeout, maximumBytes).thenApply(answer -> {
-            if (answer.status() != OK) {
-                throw new ReadException(uri + " answered " + answer.status());
-            }
-            return answer.body();
-        });
+        return WholeAnswer.ask(threads, uri, request, timeout, maximumBytes)
+                .thenApply(answer -> answer.bodyIfOk(status -> new ReadException(uri + " answered " + status)));
     }
 
     /** Says that a document could not be read. */
--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsLibrary.java
@@ -3,9 +3,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -13,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.galenahinge.concurrent.Timers;
+import org.galenahinge.concurrent.Waiters;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.upstream.HeldWeights;
@@ -42,7 +41,7 @@
     private final Counter fromNodes;
     private final Counter spoilt;
     private final Map<String, TreeMap<Long, Shelf>> shelves = new HashMap<>();
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final Waiters<Waiting> waiting;
     private Runnable changed = () -> {};
 
     /** Names where a version comes from. */
@@ -66,7 +65,7 @@
         Optional<WeightsSource> chunkSource(String model, int failures);
     }
 
-    private record Waiting(HeldWeights weights, int number, Consumer<Optional<byte[]>> reply, Timers.Timer timer) {}
+    private record Waiting(HeldWeights weights, int number, Consumer<Optional<byte[]>> reply) {}
 
     private static final class Shelf {
         private final HeldWeights weights;
@@ -88,6 +87,7 @@
     private WeightsLibrary(Sources sources, Timers timers, EventLog log, MetricRegistry metrics) {
         this.sources = sources;
         this.timers = timers;
+        this.waiting = new Waiters<>(timers, MOST_WAITING);
         this.log = log;
         this.fromOrigin = metrics.counter("weights.chunks.from_origin");
         this.fromNodes = metrics.counter("weights.chunks.from_nodes");
@@ -198,17 +198,11 @@
      */
     public void give(HeldWeights weights, int number, Duration wait, Consumer<Optional<byte[]>> reply) {
         Optional<byte[]> held = shelf(weights).flatMap(shelf -> shelf.copy).flatMap(copy -> copy.chunk(number));
-        if (held.isPresent() || waiting.size() >= MOST_WAITING || shelf(weights).isEmpty()) {
+        if (held.isPresent() || waiting.isFull() || shelf(weights).isEmpty()) {
             reply.accept(held);
             return;
         }
-        Waiting[] holder = new Waiting[1];
-        Timers.Timer timer = timers.schedule(wait, () -> {
-            waiting.remove(holder[0]);
-            reply.accept(Optional.empty());
-        });
-        holder[0] = new Waiting(weights, number, reply, timer);
-        waiting.add(holder[0]);
+        waiting.add(new Waiting(weights, number, reply), wait, one -> reply.accept(Optional.empty()));
         demand(shelf(weights).get());
     }
 
@@ -330,13 +324,9 @@
     }
 
     private void arrived(Shelf shelf, int number, byte[] content) {
-        for (Waiting one : List.copyOf(waiting)) {
-            if (one.number() == number && one.weights().equals(shelf.weights)) {
-                waiting.remove(one);
-                one.timer().cancel();
-                one.reply().accept(Optional.of(content));
-            }
-        }
+        waiting.release(
+                one -> one.number() == number && one.weights().equals(shelf.weights),
+                one -> one.reply().accept(Optional.of(content)));
     }
 
     private void missed(Shelf shelf, WeightsSource source, String what, Throwable error) {
--- a/galenahinge/src/main/java/org/galenahinge/wire/WireAddress.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/WireAddress.java
@@ -1,6 +1,7 @@
 package org.galenahinge.wire;
 
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.util.Objects;
 
 /**
@@ -45,6 +46,15 @@
         return new InetSocketAddress(host, port);
     }
 
+    /**
+     * Returns the address of an HTTP server that listens here.
+     *
+     * @return the URI, without a path
+     */
+    public URI toHttpUri() {
+        return URI.create("http://" + this);
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/ModelKeeperTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.hash.Hashing;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -64,7 +63,7 @@
         engine.staged.put(2, "rotten".getBytes(StandardCharsets.UTF_8));
         report(Duration.ofMillis(3_500));
         assertThat(engine.loaded).containsExactly(2L);
-        assertThat(engine.stagedAtOrder.get(2)).isEqualTo(chunk(2, 2));
+        assertThat(engine.stagedAtOrder.get(2)).isEqualTo(TestWeights.chunk(2, 2));
     }
 
     @Test
@@ -144,16 +143,8 @@
         }
     }
 
-    private static byte[] chunk(long version, int number) {
-        return ("v" + version + " chunk " + number).getBytes(StandardCharsets.UTF_8);
-    }
-
     private static WeightsDigests digests(long version) {
-        List<String> digests = new ArrayList<>();
-        for (int number = 0; number < CHUNKS; number++) {
-            digests.add(Hashing.sha256().hashBytes(chunk(version, number)).toString());
-        }
-        return new WeightsDigests(new HeldWeights("m", version), digests);
+        return TestWeights.digests(version, CHUNKS);
     }
 
     private static final class FakeSource implements WeightsSource {
@@ -174,7 +165,7 @@
                 spoilNext--;
                 return CompletableFuture.completedFuture(new byte[] {1});
             }
-            return CompletableFuture.completedFuture(ModelKeeperTest.chunk(weights.version(), number));
+            return CompletableFuture.completedFuture(TestWeights.chunk(weights.version(), number));
         }
 
         @Override
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/supply/TestWeights.java
@@ -0,0 +1,28 @@
+package org.galenahinge.supply;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.galenahinge.upstream.HeldWeights;
+
+/** Weights whose chunks say which they are. */
+final class TestWeights {
+    private TestWeights() {}
+
+    static HeldWeights weights(long version) {
+        return new HeldWeights("m", version);
+    }
+
+    static byte[] chunk(long version, int number) {
+        return ("v" + version + " chunk " + number).getBytes(StandardCharsets.UTF_8);
+    }
+
+    static WeightsDigests digests(long version, int chunks) {
+        List<String> digests = new ArrayList<>();
+        for (int number = 0; number < chunks; number++) {
+            digests.add(Hashing.sha256().hashBytes(chunk(version, number)).toString());
+        }
+        return new WeightsDigests(weights(version), digests);
+    }
+}
--- a/galenahinge/src/test/java/org/galenahinge/supply/WeightsLibraryTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/WeightsLibraryTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.hash.Hashing;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,7 +31,7 @@
     /** Entries that restart one after the other, with all engines at their version: no chunk crosses any link. */
     @Test
     void bringsNoChunkThatNobodyAsksFor() {
-        library.want(weights(1), timers.nanoTime());
+        library.want(TestWeights.weights(1), timers.nanoTime());
         timers.advance(Duration.ofSeconds(5));
         assertThat(origin.sent).isEmpty();
         assertThat(library.offer("m")).isPresent();
@@ -41,7 +39,7 @@
 
     @Test
     void bringsAllOnceOneIsAskedFor() {
-        library.want(weights(1), timers.nanoTime());
+        library.want(TestWeights.weights(1), timers.nanoTime());
         assertThat(ask(1, 3)).isPresent();
         timers.advance(Duration.ofSeconds(1));
         assertThat(origin.sent).hasSize(CHUNKS).doesNotHaveDuplicates();
@@ -51,9 +49,9 @@
     @Test
     void remembersWhatIsAskedBeforeTheManifestComes() {
         origin.holdManifest = true;
-        library.want(weights(1), timers.nanoTime());
+        library.want(TestWeights.weights(1), timers.nanoTime());
         List<byte[]> got = new ArrayList<>();
-        library.give(weights(1), 0, Duration.ofSeconds(1), chunk -> chunk.ifPresent(got::add));
+        library.give(TestWeights.weights(1), 0, Duration.ofSeconds(1), chunk -> chunk.ifPresent(got::add));
         origin.releaseManifest(1);
         timers.advance(Duration.ofMillis(500));
         assertThat(got).hasSize(1);
@@ -63,8 +61,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void offersTheVersionBeforeWhileTheNewestStalls(boolean newestAskedFor) {
-        library.want(weights(1), timers.nanoTime());
-        library.want(weights(2), timers.nanoTime());
+        library.want(TestWeights.weights(1), timers.nanoTime());
+        library.want(TestWeights.weights(2), timers.nanoTime());
         origin.away = true;
         if (newestAskedFor) {
             ask(2, 0);
@@ -80,8 +78,8 @@
     /** The origin is back after a while: whoever waits for weights hears at once that the newest comes along again. */
     @Test
     void tellsAtOnceThatAStalledVersionComesAlongAgain() {
-        library.want(weights(1), timers.nanoTime());
-        library.want(weights(2), timers.nanoTime());
+        library.want(TestWeights.weights(1), timers.nanoTime());
+        library.want(TestWeights.weights(2), timers.nanoTime());
         origin.away = true;
         ask(2, 0);
         timers.advance(Duration.ofSeconds(2));
@@ -99,25 +97,13 @@
 
     private Optional<byte[]> ask(long version, int number) {
         List<Optional<byte[]>> got = new ArrayList<>();
-        library.give(weights(version), number, Duration.ofMillis(100), got::add);
+        library.give(TestWeights.weights(version), number, Duration.ofMillis(100), got::add);
         timers.advance(Duration.ofMillis(200));
         return got.get(0);
     }
 
-    private static HeldWeights weights(long version) {
-        return new HeldWeights("m", version);
-    }
-
-    private static byte[] chunk(long version, int number) {
-        return ("v" + version + " chunk " + number).getBytes(StandardCharsets.UTF_8);
-    }
-
     private static WeightsDigests digests(long version) {
-        List<String> digests = new ArrayList<>();
-        for (int number = 0; number < CHUNKS; number++) {
-            digests.add(Hashing.sha256().hashBytes(chunk(version, number)).toString());
-        }
-        return new WeightsDigests(weights(version), digests);
+        return TestWeights.digests(version, CHUNKS);
     }
 
     private final class OneSource implements WeightsLibrary.Sources {
@@ -153,7 +139,7 @@
                 return CompletableFuture.failedFuture(new SupplyException("away"));
             }
             sent.add(weights.version() + "/" + number);
-            return CompletableFuture.completedFuture(WeightsLibraryTest.chunk(weights.version(), number));
+            return CompletableFuture.completedFuture(TestWeights.chunk(weights.version(), number));
         }
 
         @Override
