Rebuild the roster and the duties of entries only when a member changed

Cause: each membership message and each tick (18 a second an entry) copied all members, parsed their addresses and sorted them; watcher and relay were hashed over all entries at each check of the facts; a relay looked through all items for each waiting node at each refresh. All three grow with the number of entries, times the messages of each. Ruled out: the ping traffic itself, which is constant a node. Change: MembershipProtocol counts changes and EntryMembership rebuilds the roster only after one; EntryRoster assigns duties when the entries change; FactLog knows its newest change, so that hasChangesAfter is one comparison. Tests: countsNoChangesWhileAllMembersAreUp and assignsDutiesAnewWhenTheirEntryLeaves; tellsAtAnyRevisionWhetherThereAreChanges holds the short way against the long one. Conclusion: no cost of a message or tick grows with the members while none changes.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -22,6 +22,7 @@
     private final Map<String, FactItem> items = new HashMap<>();
     private int removals;
     private long revision;
+    private long newestChange;
     private long newestDroppedRemoval;
 
     /**
@@ -84,7 +85,7 @@
      * @return whether something changed
      */
     public boolean hasChangesAfter(long after) {
-        return items.values().stream().anyMatch(changedAfter(after));
+        return needsSnapshot(after) ? items.size() > removals : newestChange > after;
     }
 
     /** Tells whether removals that the reader has not seen may have been dropped. */
@@ -114,6 +115,7 @@
             return false;
         }
         items.put(change.key(), change);
+        newestChange = Math.max(newestChange, change.revision());
         removals += (change.removed() ? 1 : 0) - (held != null && held.removed() ? 1 : 0);
         return true;
     }
--- a/galenahinge/src/main/java/org/galenahinge/membership/MembershipProtocol.java
+++ b/galenahinge/src/main/java/org/galenahinge/membership/MembershipProtocol.java
@@ -49,6 +49,7 @@
     private final List<String> probeQueue = new ArrayList<>();
     private Optional<Probe> probe = Optional.empty();
     private long ownStateVersion;
+    private long changes;
     private long nextSequence = 1;
     private long nextProbeNanos;
     private long lastTickNanos;
@@ -113,13 +114,9 @@
      * @param nowNanos the current time, in nanoseconds
      */
     public void setListedMembers(Collection<String> names, long nowNanos) {
-        members.keySet().retainAll(names);
+        changes += members.keySet().retainAll(names) ? 1 : 0;
         transmissionsLeft.keySet().retainAll(names);
-        for (String name : names) {
-            if (!name.equals(self)) {
-                members.computeIfAbsent(name, vm -> new MemberState(vm, 0, Status.ALIVE, nowNanos));
-            }
-        }
+        names.forEach(name -> addMember(name, nowNanos));
     }
 
     /**
@@ -129,10 +126,13 @@
      * @param nowNanos the current time, in nanoseconds
      */
     public void addMembers(Collection<String> names, long nowNanos) {
-        for (String name : names) {
-            if (!name.equals(self)) {
-                members.computeIfAbsent(name, vm -> new MemberState(vm, 0, Status.ALIVE, nowNanos));
-            }
+        names.forEach(name -> addMember(name, nowNanos));
+    }
+
+    private void addMember(String name, long nowNanos) {
+        if (!name.equals(self) && !members.containsKey(name)) {
+            members.put(name, new MemberState(name, 0, Status.ALIVE, nowNanos));
+            changes++;
         }
     }
 
@@ -200,6 +200,16 @@
                 .toList();
     }
 
+    /**
+     * Returns how often a member was added or removed or its state changed, so that a caller that derives something from
+     * all members need not look at them again.
+     *
+     * @return a number that grows with each change
+     */
+    public long changes() {
+        return changes;
+    }
+
     /**
      * Returns the states of all other members.
      *
@@ -326,6 +336,7 @@
             } else if (member.status() == Status.LEFT
                     && ageNanos > timing.retainLeftFor().toNanos()) {
                 members.remove(member.vm());
+                changes++;
             }
         }
     }
@@ -363,6 +374,7 @@
             throw new IllegalStateException("the state version of member " + member.vm() + " decreased");
         }
         members.put(member.vm(), member);
+        changes++;
         // A higher state version with the same status is not spread: it would delay updates that change a status.
         if (known == null || known.status() != member.status()) {
             transmissionsLeft.put(member.vm(), transmissionsPerUpdate());
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -58,6 +58,7 @@
     private final Random random;
     private NetworkThreads threads;
     private DatagramNetwork network;
+    private long changesInRoster = -1;
     private boolean joined;
     private boolean left;
     private long joinedNanos;
@@ -178,7 +179,7 @@
     void leave() {
         left = true;
         send(core.leave());
-        updateRoster();
+        rebuildRoster();
     }
 
     /**
@@ -211,7 +212,15 @@
         }
     }
 
+    /** Does nothing while the members are as they were: most messages and ticks change none. */
     private void updateRoster() {
+        if (changesInRoster != core.changes()) {
+            rebuildRoster();
+        }
+    }
+
+    private void rebuildRoster() {
+        changesInRoster = core.changes();
         List<NodeAddress> up = new ArrayList<>();
         if (joined && !left) {
             up.add(self);
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -5,9 +5,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.galenahinge.routing.Rendezvous;
 
@@ -15,7 +17,7 @@
  * The entries that this node considers up, and the duties assigned to them. Not thread-safe.
  *
  * <p>Duties are assigned by rendezvous hashing over the entries that are up, so that all nodes with the same view
- * choose the same entry without coordination.
+ * choose the same entry without coordination. They are assigned anew when the entries change.
  */
 final class EntryRoster {
     private static final String WATCH_DUTY = "watch";
@@ -24,6 +26,9 @@
     private final String zone;
     private final Random random;
     private List<NodeAddress> up = List.of();
+    private Map<String, List<NodeAddress>> byZone = Map.of();
+    private Optional<NodeAddress> watcher = Optional.empty();
+    private Optional<NodeAddress> ownRelay = Optional.empty();
 
     EntryRoster(String zone, long seed) {
         this.zone = Objects.requireNonNull(zone, "zone");
@@ -34,7 +39,13 @@
     void update(Collection<NodeAddress> entries) {
         List<NodeAddress> sorted = new ArrayList<>(entries);
         sorted.sort(Comparator.comparing(NodeAddress::text));
+        if (sorted.equals(up)) {
+            return;
+        }
         up = List.copyOf(sorted);
+        byZone = Map.copyOf(up.stream().collect(Collectors.groupingBy(NodeAddress::zone)));
+        watcher = assignee(up, WATCH_DUTY);
+        ownRelay = relayOf(zone);
     }
 
     List<NodeAddress> up() {
@@ -42,12 +53,12 @@
     }
 
     List<NodeAddress> inZone(String failureDomain) {
-        return up.stream().filter(entry -> entry.zone().equals(failureDomain)).toList();
+        return byZone.getOrDefault(failureDomain, List.of());
     }
 
     /** Returns the entry that reads the store for all. */
     Optional<NodeAddress> watcher() {
-        return assignee(up, WATCH_DUTY);
+        return watcher;
     }
 
     /** Returns the entry that the others of a failure domain read facts from. */
@@ -57,7 +68,7 @@
 
     /** Tells whether an entry is the watcher or the relay of this failure domain, so that others read facts from it. */
     boolean isFactSource(String name) {
-        return Stream.of(watcher(), relayOf(zone))
+        return Stream.of(watcher, ownRelay)
                 .flatMap(Optional::stream)
                 .anyMatch(entry -> entry.name().equals(name));
     }
@@ -71,9 +82,8 @@
      * @return the entry, or empty when no other entry is up
      */
     Optional<NodeAddress> factSource(String self, int failures) {
-        Optional<NodeAddress> relay = relayOf(zone);
-        boolean readsFromWatcher = relay.isEmpty() || relay.get().name().equals(self);
-        Optional<NodeAddress> source = (readsFromWatcher ? watcher() : relay)
+        boolean readsFromWatcher = ownRelay.isEmpty() || ownRelay.get().name().equals(self);
+        Optional<NodeAddress> source = (readsFromWatcher ? watcher : ownRelay)
                 .filter(entry -> !entry.name().equals(self));
         if (failures == 0 && source.isPresent()) {
             return source;
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
@@ -50,6 +50,22 @@
         assertThat(presentItems(log)).isEmpty();
     }
 
+    /** Many readers wait at a relay and each is asked after each read of the store. */
+    @Property(tries = 200, seed = "4711")
+    void tellsAtAnyRevisionWhetherThereAreChanges(@ForAll long seed) {
+        Random random = new Random(seed);
+        FactLog log = new FactLog();
+        for (long revision = 1; revision <= 40; revision++) {
+            String key = "k" + random.nextInt(4);
+            FactItem change = random.nextBoolean() ? FactItem.removed(key, revision) : item(key, revision);
+            log.merge(random.nextInt(3) == 0 ? List.of() : List.of(change), revision);
+            for (long after = 0; after <= revision; after++) {
+                assertThat(log.hasChangesAfter(after))
+                        .isEqualTo(!log.changesAfter(after).items().isEmpty());
+            }
+        }
+    }
+
     @Test
     void returnsASnapshotIfRemovalsMayHaveBeenDropped() {
         FactLog log = new FactLog();
--- a/galenahinge/src/test/java/org/galenahinge/membership/MembershipProtocolTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/membership/MembershipProtocolTest.java
@@ -35,6 +35,19 @@
         assertThat(members.statusesOf("m-1")).containsOnly(Status.ALIVE);
     }
 
+    /** What is derived from all members is built anew only when one of them changed, not with each message. */
+    @Test
+    void countsNoChangesWhileAllMembersAreUp() {
+        Members members = new Members(20, 0, 1);
+        members.run(5);
+        long before = members.protocols.get("m-1").changes();
+        members.run(20);
+        assertThat(members.protocols.get("m-1").changes()).isEqualTo(before);
+        members.unresponsive.add("m-0");
+        members.run(40);
+        assertThat(members.protocols.get("m-1").changes()).isGreaterThan(before);
+    }
+
     @Test
     void spreadsASuspicionToManyMembersWithinSeconds() {
         Members members = new Members(200, 0.05, 9);
--- a/galenahinge/src/test/java/org/galenahinge/node/EntryRosterTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/EntryRosterTest.java
@@ -40,6 +40,24 @@
         assertThat(roster.factSource("entry-0", 3)).isEmpty();
     }
 
+    @Test
+    void assignsDutiesAnewWhenTheirEntryLeaves() {
+        List<NodeAddress> addresses = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            addresses.add(address("entry-" + number, "zone-" + number % 3));
+        }
+        EntryRoster roster = new EntryRoster("zone-0", 1);
+        roster.update(addresses);
+        NodeAddress watcher = roster.watcher().orElseThrow();
+        NodeAddress relay = roster.relayOf("zone-0").orElseThrow();
+        addresses.removeAll(List.of(watcher, relay));
+        roster.update(addresses);
+        assertThat(roster.watcher()).isPresent().isNotEqualTo(Optional.of(watcher));
+        assertThat(roster.relayOf("zone-0")).isPresent().isNotEqualTo(Optional.of(relay));
+        assertThat(roster.isFactSource(relay.name())).isFalse();
+        assertThat(roster.inZone("zone-0")).doesNotContain(relay).isNotEmpty();
+    }
+
     @Test
     void parsesTheTextOfANodeAddress() {
         NodeAddress address = address("entry-7", "zone-2");
