Share an engine's free slots among the entries, and offer them to the first waiting requests only

Cause: all entries see the same free slot in a report, and each could use at least one, so that 49 entries sent up to 49 requests to one slot. A report went to every entry of the failure domain. Change: a slot process gives each receiver of a report another position (SlotShare), rotating, at most 6 of its failure domain a report; slots that became free since the last report stay with their users. An entry uses again the slots that its own requests left, unless requests wait in the engine; one with less than half of its share may claim one. A report or an end is offered to the queue for that engine only, and to at most 16 requests that cannot use it; the queue adds, removes and expires in logarithmic time.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -333,7 +333,7 @@
         cancelTimers();
         buffered.release();
         request.attemptFailed(this, outcome, detail);
-        request.gateway().serveWaiting();
+        request.gateway().serveWaitingAt(upstreamId());
     }
 
     private void complete(boolean succeeded) {
@@ -350,7 +350,7 @@
             buffered.release();
         }
         connection = Optional.empty();
-        request.gateway().serveWaiting();
+        request.gateway().serveWaitingAt(upstreamId());
     }
 
     private void releaseConnection() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -114,12 +115,13 @@
         currentAttempt.ifPresent(Attempt::resume);
     }
 
-    /** Tries to send a queued request to an upstream; returns whether it leaves the queue. */
-    boolean tryPlaceWaiting() {
+    /** Tries to send a queued request to one of some upstreams; returns whether it leaves the queue. */
+    boolean tryPlaceWaiting(List<PlacementCandidate> candidates) {
         if (ended) {
             return true;
         }
-        PlacementDecision choice = choose();
+        PlacementDecision choice = gateway.choose(
+                admitted.service(), candidates, request.metadata().prompt(), triedUpstreams, isLate());
         if (!(choice instanceof PlacementDecision.Chosen chosen)) {
             return false;
         }
@@ -251,8 +253,11 @@
     }
 
     private PlacementDecision choose() {
-        boolean late = deadlines.isLate(gateway.timers().nanoTime());
-        return gateway.choose(admitted.service(), request.metadata().prompt(), triedUpstreams, late);
+        return gateway.choose(admitted.service(), request.metadata().prompt(), triedUpstreams, isLate());
+    }
+
+    private boolean isLate() {
+        return deadlines.isLate(gateway.timers().nanoTime());
     }
 
     private void place() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.galenahinge.placement.PlacementRequest;
 import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.ServiceRetryBudget;
+import org.galenahinge.placement.ServiceUpstreams;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
@@ -141,8 +142,7 @@
      * @param report the report
      */
     public void recordReport(WireAddress address, long incarnation, LoadReport report) {
-        upstreams.recordReport(address, incarnation, report);
-        serveWaiting();
+        upstreams.recordReport(address, incarnation, report).forEach(this::serveWaitingAt);
     }
 
     /** Announces that the process is stopping: from now on, every response is the last one on its connection. */
@@ -195,12 +195,28 @@
     }
 
     PlacementDecision choose(String service, Optional<PromptShape> prompt, Set<String> excluded, boolean late) {
-        Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
+        return choose(service, upstreams.candidates(service), prompt, excluded, late);
+    }
+
+    /** Chooses among some of a service's upstreams. */
+    PlacementDecision choose(
+            String service,
+            List<PlacementCandidate> offered,
+            Optional<PromptShape> prompt,
+            Set<String> excluded,
+            boolean late) {
         OptionalLong minimum =
                 prompt.map(shape -> minimumVersion(shape.model())).orElse(OptionalLong.empty());
-        List<PlacementCandidate> candidates = upstreams.candidates(service);
         return placement.choose(
-                candidates, engine, new PlacementRequest(prompt, excluded, minimum, late), timers.nanoTime());
+                upstreamsOf(service),
+                offered,
+                new PlacementRequest(prompt, excluded, minimum, late),
+                timers.nanoTime());
+    }
+
+    private ServiceUpstreams upstreamsOf(String service) {
+        Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
+        return new ServiceUpstreams(upstreams.candidates(service), engine);
     }
 
     /** The newest version whose rollout time is nearly over; requests must not start on an older one. */
@@ -217,10 +233,30 @@
         timers.schedule(QUEUE_SCAN_INTERVAL, this::scanQueues);
     }
 
-    /** Offers free slots to the waiting requests. */
-    void serveWaiting() {
+    /** Offers the free slots of one upstream to the requests that wait for its service. */
+    void serveWaitingAt(String upstreamId) {
+        upstreams.candidate(upstreamId).ifPresent(this::serveWaitingAt);
+    }
+
+    private void serveWaitingAt(PlacementCandidate candidate) {
+        serveWaiting(candidate.upstream().service(), List.of(candidate));
+    }
+
+    /** Offers all free slots to the waiting requests. */
+    private void serveWaiting() {
+        List.copyOf(serviceQueues.keySet()).forEach(service -> serveWaiting(service, upstreams.candidates(service)));
+    }
+
+    private void serveWaiting(String service, List<PlacementCandidate> offered) {
+        ServiceQueue queue = serviceQueues.get(service);
+        if (queue == null || queue.waiting().size() == 0) {
+            return;
+        }
         long now = timers.nanoTime();
-        serviceQueues.values().forEach(queue -> queue.waiting().dispatch(now, ForwardedRequest::tryPlaceWaiting));
+        List<PlacementCandidate> free = placement.withFreeSlot(upstreamsOf(service), offered, now);
+        if (!free.isEmpty()) {
+            queue.waiting().dispatch(now, request -> request.tryPlaceWaiting(free));
+        }
     }
 
     private void scanQueues() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamTable.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamTable.java
@@ -28,7 +28,15 @@
     private final Map<WireAddress, List<UpstreamState>> byAddress = new HashMap<>();
     private final Map<String, List<PlacementCandidate>> byService = new HashMap<>();
 
-    private record UpstreamState(Upstream upstream, UpstreamLoad load, UpstreamPool pool) {}
+    private record UpstreamState(PlacementCandidate candidate, UpstreamPool pool) {
+        Upstream upstream() {
+            return candidate.upstream();
+        }
+
+        UpstreamLoad load() {
+            return candidate.load();
+        }
+    }
 
     UpstreamTable(EventLoop loop, Timers timers, Counter connectionsOpened) {
         this.timers = Objects.requireNonNull(timers, "timers");
@@ -53,8 +61,9 @@
                     .add(state);
             byService
                     .computeIfAbsent(upstream.service(), service -> new ArrayList<>())
-                    .add(new PlacementCandidate(upstream, state.load()));
+                    .add(state.candidate());
         }
+        byService.replaceAll((service, candidates) -> List.copyOf(candidates));
         byId.entrySet().removeIf(known -> {
             boolean gone = !present.contains(known.getKey());
             if (gone) {
@@ -68,6 +77,10 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    Optional<PlacementCandidate> candidate(String id) {
+        return Optional.ofNullable(byId.get(id)).map(UpstreamState::candidate);
+    }
+
     Optional<UpstreamPool> pool(String id) {
         return Optional.ofNullable(byId.get(id)).map(UpstreamState::pool);
     }
@@ -79,17 +92,21 @@
      * @param address where the upstream listens
      * @param incarnation when the reported incarnation started, in milliseconds since the epoch; 0 if unknown
      * @param report the report
+     * @return the upstreams that the report describes
      */
-    void recordReport(WireAddress address, long incarnation, LoadReport report) {
+    List<PlacementCandidate> recordReport(WireAddress address, long incarnation, LoadReport report) {
         long now = timers.nanoTime();
+        List<PlacementCandidate> reported = new ArrayList<>(1);
         for (UpstreamState state : byAddress.getOrDefault(address, List.of())) {
             long known = state.upstream().bornMillis();
             if (known == 0 || incarnation == 0 || known == incarnation) {
                 state.load().recordReport(report, now);
+                reported.add(state.candidate());
             } else {
                 state.load().recordOtherIncarnation(now);
             }
         }
+        return reported;
     }
 
     int size() {
@@ -99,12 +116,13 @@
     private UpstreamState stateOf(Upstream upstream) {
         UpstreamState known = byId.get(upstream.id());
         if (known != null && known.upstream().isSameIncarnation(upstream)) {
-            return new UpstreamState(upstream, known.load(), known.pool());
+            return new UpstreamState(new PlacementCandidate(upstream, known.load()), known.pool());
         }
         if (known != null) {
             known.pool().close();
         }
         return new UpstreamState(
-                upstream, new UpstreamLoad(timers.nanoTime()), UpstreamPool.create(loop, upstream, connectionsOpened));
+                new PlacementCandidate(upstream, new UpstreamLoad(timers.nanoTime())),
+                UpstreamPool.create(loop, upstream, connectionsOpened));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
@@ -5,20 +5,23 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.BiConsumer;
-import java.util.stream.Stream;
+import java.util.stream.IntStream;
 import org.galenahinge.concurrent.Timers;
+import org.galenahinge.placement.SlotShare;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.supply.EngineControl.EngineReport;
 import org.galenahinge.supply.EngineWeightsController;
 import org.galenahinge.wire.WireAddress;
 
 /**
- * Sends an engine's load reports to the entries: to those of this failure domain with each report, to the others less
- * often, and to all at once when the engine is about to stop serving in order to load. Not thread-safe.
+ * Sends an engine's load reports to the entries: with each report to some of this failure domain in turn, less often to
+ * some of the others, and to all at once when the engine is about to stop serving in order to load. So its cost does not
+ * grow with the number of entries. Each report shares the engine's
+ * free slots among its receivers, those of this failure domain first. Not thread-safe.
  */
 final class LoadAnnouncer {
     private static final Duration REMOTE_INTERVAL = Duration.ofMillis(400);
-    private static final int MAXIMUM_LOCAL_ENTRIES = 64;
+    private static final int MAXIMUM_LOCAL_ENTRIES = 6;
     private static final int MAXIMUM_REMOTE_ENTRIES = 16;
 
     /** Entries beyond this number learn that an engine loads only with their next report. */
@@ -31,6 +34,8 @@
     private final BiConsumer<NodeAddress, byte[]> sender;
     private final Timers timers;
     private long nextRemoteNanos;
+    private int lastInUse;
+    private int nextLocalIndex;
     private int nextRemoteIndex;
 
     private LoadAnnouncer(
@@ -77,12 +82,15 @@
     }
 
     /**
-     * Sends a report to the entries of this failure domain and, where the interval has passed, to some of the others.
+     * Sends a report to the next entries of this failure domain and, where the interval has passed, to some of the others.
      */
     void announce(EngineReport report) {
         boolean remoteDue = timers.nanoTime() - nextRemoteNanos >= 0;
         List<NodeAddress> remote = remoteDue ? nextRemote() : List.of();
-        send(report, Stream.concat(roster.inZone(zone).stream().limit(MAXIMUM_LOCAL_ENTRIES), remote.stream()));
+        List<NodeAddress> local = nextLocal();
+        List<NodeAddress> receivers = new ArrayList<>(local);
+        receivers.addAll(remote);
+        send(report, receivers);
         if (remoteDue) {
             nextRemoteNanos = timers.nanoTime() + REMOTE_INTERVAL.toNanos();
         }
@@ -93,25 +101,51 @@
      * they would wait until it has loaded.
      */
     void announceToAll(EngineReport report) {
-        send(report, roster.up().stream().limit(MAXIMUM_ENTRIES_AT_ONCE));
+        send(report, roster.up().stream().limit(MAXIMUM_ENTRIES_AT_ONCE).toList());
+    }
+
+    /**
+     * Selects the next entries of this failure domain. Where all get each report, the next one starts with another entry,
+     * since the first ones get the first of the free slots.
+     */
+    private List<NodeAddress> nextLocal() {
+        List<NodeAddress> local = roster.inZone(zone);
+        List<NodeAddress> chosen = rotate(local, nextLocalIndex, MAXIMUM_LOCAL_ENTRIES);
+        nextLocalIndex += local.size() > MAXIMUM_LOCAL_ENTRIES ? chosen.size() : 1;
+        return chosen;
     }
 
     /** Selects the next entries of other failure domains, in rotation. */
     private List<NodeAddress> nextRemote() {
         List<NodeAddress> candidates =
                 roster.up().stream().filter(entry -> !entry.zone().equals(zone)).toList();
-        List<NodeAddress> chosen = new ArrayList<>();
-        for (int number = 0; number < Math.min(candidates.size(), MAXIMUM_REMOTE_ENTRIES); number++) {
-            chosen.add(candidates.get((nextRemoteIndex + number) % candidates.size()));
-        }
-        nextRemoteIndex = candidates.isEmpty() ? 0 : (nextRemoteIndex + chosen.size()) % candidates.size();
+        List<NodeAddress> chosen = rotate(candidates, nextRemoteIndex, MAXIMUM_REMOTE_ENTRIES);
+        nextRemoteIndex += chosen.size();
         return chosen;
     }
 
-    private void send(EngineReport report, Stream<NodeAddress> entries) {
-        byte[] datagram =
-                LoadCodec.encode(new LoadCodec.UpstreamReport(upstream, report.incarnation(), loadOf(report)));
-        entries.forEach(entry -> sender.accept(entry, datagram));
+    /** Returns entries from the one with the given number on, which may exceed their number, at most so many. */
+    private static List<NodeAddress> rotate(List<NodeAddress> entries, int first, int maximum) {
+        List<NodeAddress> rotated = new ArrayList<>();
+        for (int number = 0; number < Math.min(entries.size(), maximum); number++) {
+            rotated.add(entries.get(Math.floorMod(first + number, entries.size())));
+        }
+        return rotated;
+    }
+
+    /** Sends a report to entries; those at the front get the first of the free slots. */
+    private void send(EngineReport report, List<NodeAddress> entries) {
+        int inUse = report.running() + report.waiting();
+        int withheld = Math.max(0, lastInUse - inUse);
+        lastInUse = inUse;
+        List<SlotShare> shares = IntStream.range(0, entries.size())
+                .mapToObj(position -> new SlotShare(position, entries.size(), withheld))
+                .toList();
+        List<byte[]> datagrams = LoadCodec.encodeShared(
+                new LoadCodec.UpstreamReport(upstream, report.incarnation(), loadOf(report)), shares);
+        for (int index = 0; index < entries.size(); index++) {
+            sender.accept(entries.get(index), datagrams.get(index));
+        }
     }
 
     private LoadReport loadOf(EngineReport report) {
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadCodec.java
@@ -3,8 +3,10 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.galenahinge.placement.SlotShare;
 import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.WeightsVersion;
 import org.galenahinge.wire.WireAddress;
@@ -29,7 +31,20 @@
         }
     }
 
-    static byte[] encode(UpstreamReport upstreamReport) {
+    /** Encodes a report for each of several receivers, whose positions in the share of free slots differ. */
+    static List<byte[]> encodeShared(UpstreamReport upstreamReport, List<SlotShare> shares) {
+        SlotLoad common = message(upstreamReport);
+        return shares.stream()
+                .map(share -> common.toBuilder()
+                        .setSharePosition(share.position())
+                        .setShareReceivers(share.receivers())
+                        .setShareWithheld(share.withheld())
+                        .build()
+                        .toByteArray())
+                .toList();
+    }
+
+    private static SlotLoad message(UpstreamReport upstreamReport) {
         LoadReport report = upstreamReport.report();
         SlotLoad.Builder datagram = SlotLoad.newBuilder()
                 .setAddress(upstreamReport.address().toString())
@@ -42,7 +57,7 @@
         report.untilReload()
                 .ifPresent(untilLoad -> datagram.setTurnKnown(true).setUntilTurnMillis(untilLoad.toMillis()));
         report.weights().ifPresent(held -> datagram.setModel(held.model()).setVersion(held.version()));
-        return datagram.build().toByteArray();
+        return datagram.build();
     }
 
     /** Decodes a datagram; returns empty when it is malformed. */
@@ -61,7 +76,9 @@
                     datagram.getTurnKnown()
                             ? Optional.of(Duration.ofMillis(datagram.getUntilTurnMillis()))
                             : Optional.empty(),
-                    weights);
+                    weights,
+                    new SlotShare(
+                            datagram.getSharePosition(), datagram.getShareReceivers(), datagram.getShareWithheld()));
             return Optional.of(
                     new UpstreamReport(WireAddress.parse(datagram.getAddress()), datagram.getBornMillis(), report));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.NavigableSet;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
@@ -14,13 +16,22 @@
  * wait spares the caller a rejection and a retry. After an outage, many requests are late already and must not delay
  * new ones until those are late too.
  *
- * @param <T> type of the queued items
+ * <p>Adding, removing and dispatching an item each take time logarithmic in the number of queued items.
+ *
+ * @param <T> type of the queued items, which are compared by identity; an item is queued at most once
  */
 public final class AdmissionQueue<T> {
+    /** Bounds the work of a dispatch when the first items cannot use what is free, but others might. */
+    private static final int MAXIMUM_SKIPPED_PER_DISPATCH = 16;
+
     private final int capacity;
-    private final TreeSet<Waiter<T>> waiters = new TreeSet<>(Comparator.comparingInt(Waiter<T>::priority)
-            .thenComparingLong(Waiter::waitingSinceNanos)
-            .thenComparingLong(Waiter::sequence));
+    private final IdentityHashMap<T, Waiter<T>> waiters = new IdentityHashMap<>();
+    private final NavigableSet<Waiter<T>> onTime = new TreeSet<>(dispatchOrder());
+    private final NavigableSet<Waiter<T>> late = new TreeSet<>(dispatchOrder());
+    private final NavigableSet<Waiter<T>> byOnTimeEnd =
+            new TreeSet<>(Comparator.comparingLong(Waiter<T>::onTimeUntilNanos).thenComparingLong(Waiter::sequence));
+    private final NavigableSet<Waiter<T>> byExpiry =
+            new TreeSet<>(Comparator.comparingLong(Waiter<T>::expiresNanos).thenComparingLong(Waiter::sequence));
     private long nextSequence;
 
     /**
@@ -60,8 +71,13 @@
         if (waiters.size() >= capacity) {
             return false;
         }
-        return waiters.add(
-                new Waiter<>(item, priority, waitingSinceNanos, onTimeUntilNanos, expiresNanos, nextSequence++));
+        Waiter<T> waiter =
+                new Waiter<>(item, priority, waitingSinceNanos, onTimeUntilNanos, expiresNanos, nextSequence++);
+        waiters.put(item, waiter);
+        onTime.add(waiter);
+        byOnTimeEnd.add(waiter);
+        byExpiry.add(waiter);
+        return true;
     }
 
     /**
@@ -70,42 +86,40 @@
      * @param item the item, compared by identity
      */
     public void remove(T item) {
-        waiters.removeIf(waiter -> waiter.item() == item);
+        Waiter<T> waiter = waiters.get(item);
+        if (waiter != null) {
+            remove(waiter);
+        }
     }
 
     /**
      * Removes the expired items.
      *
      * @param nowNanos the time, in nanoseconds
-     * @return the removed items
+     * @return the removed items, those that expired first at the front
      */
     public List<T> removeExpired(long nowNanos) {
         List<T> expired = new ArrayList<>();
-        waiters.removeIf(waiter -> {
-            boolean late = nowNanos - waiter.expiresNanos() >= 0;
-            if (late) {
-                expired.add(waiter.item());
-            }
-            return late;
-        });
+        while (!byExpiry.isEmpty() && nowNanos - byExpiry.first().expiresNanos() >= 0) {
+            Waiter<T> waiter = byExpiry.first();
+            remove(waiter);
+            expired.add(waiter.item());
+        }
         return expired;
     }
 
     /**
-     * Passes each queued item to the dispatcher, those that can be on time first and then by priority and arrival, and
-     * removes the items that it accepts.
+     * Passes queued items to the dispatcher, those that can be on time first and then by priority and arrival, and
+     * removes the items that it accepts. Ends after a number of items that the dispatcher did not accept.
      *
      * @param nowNanos the time, in nanoseconds
      * @param dispatcher returns whether it accepted the item
      */
     public void dispatch(long nowNanos, Predicate<T> dispatcher) {
-        List<Waiter<T>> ordered = new ArrayList<>(waiters);
-        ordered.sort(Comparator.comparing(waiter -> nowNanos - waiter.onTimeUntilNanos() >= 0));
-        for (Waiter<T> waiter : ordered) {
-            if (waiters.contains(waiter) && dispatcher.test(waiter.item())) {
-                waiters.remove(waiter);
-            }
-        }
+        separateLate(nowNanos);
+        long firstNewSequence = nextSequence;
+        int skipped = dispatch(onTime, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH, dispatcher);
+        dispatch(late, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH - skipped, dispatcher);
     }
 
     /**
@@ -116,4 +130,44 @@
     public int size() {
         return waiters.size();
     }
+
+    /** Returns how many items the dispatcher did not accept. The dispatcher may add and remove items. */
+    private int dispatch(
+            NavigableSet<Waiter<T>> ordered, long firstNewSequence, int maximumSkipped, Predicate<T> dispatcher) {
+        int skipped = 0;
+        Waiter<T> next = ordered.isEmpty() ? null : ordered.first();
+        while (next != null && skipped < maximumSkipped) {
+            Waiter<T> waiter = next;
+            boolean isNew = waiter.sequence() >= firstNewSequence;
+            if (!isNew && dispatcher.test(waiter.item())) {
+                remove(waiter);
+            } else {
+                skipped++;
+            }
+            next = ordered.higher(waiter);
+        }
+        return skipped;
+    }
+
+    private void separateLate(long nowNanos) {
+        while (!byOnTimeEnd.isEmpty() && nowNanos - byOnTimeEnd.first().onTimeUntilNanos() >= 0) {
+            Waiter<T> waiter = byOnTimeEnd.pollFirst();
+            onTime.remove(waiter);
+            late.add(waiter);
+        }
+    }
+
+    private void remove(Waiter<T> waiter) {
+        waiters.remove(waiter.item(), waiter);
+        onTime.remove(waiter);
+        late.remove(waiter);
+        byOnTimeEnd.remove(waiter);
+        byExpiry.remove(waiter);
+    }
+
+    private static <T> Comparator<Waiter<T>> dispatchOrder() {
+        return Comparator.comparingInt(Waiter<T>::priority)
+                .thenComparingLong(Waiter::waitingSinceNanos)
+                .thenComparingLong(Waiter::sequence);
+    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import org.galenahinge.catalog.EngineProfile;
 
@@ -25,6 +27,10 @@
     private static final double PLAIN_REQUEST_MILLIS = 20;
     private static final int NODES_PER_PLAIN_UPSTREAM = 3;
 
+    /** A request that any upstream of a service could serve. */
+    private static final PlacementRequest ANY_REQUEST =
+            new PlacementRequest(Optional.empty(), Set.of(), OptionalLong.empty(), false);
+
     private final String zone;
     private final IntSupplier nodes;
     private final Random random;
@@ -50,31 +56,42 @@
     }
 
     /**
-     * Chooses an upstream for a request.
+     * Chooses an upstream for a request among all upstreams of its service.
+     *
+     * @param service the upstreams of the service
+     * @param request what the request requires
+     * @param nowNanos the time, in nanoseconds
+     * @return the decision
+     */
+    public PlacementDecision choose(ServiceUpstreams service, PlacementRequest request, long nowNanos) {
+        return choose(service, service.candidates(), request, nowNanos);
+    }
+
+    /**
+     * Chooses an upstream for a request among some upstreams of its service.
      *
-     * @param candidates the upstreams of the service
-     * @param engine figures of the service's engines, empty for a plain service
+     * @param service the upstreams of the service
+     * @param offered those to choose from
      * @param request what the request requires
      * @param nowNanos the time, in nanoseconds
      * @return the decision
      */
     public PlacementDecision choose(
-            List<PlacementCandidate> candidates,
-            Optional<EngineProfile> engine,
-            PlacementRequest request,
-            long nowNanos) {
+            ServiceUpstreams service, List<PlacementCandidate> offered, PlacementRequest request, long nowNanos) {
+        Optional<EngineProfile> engine = service.engine();
+        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), nowNanos);
         PlacementCandidate best = null;
         double bestScore = Double.MAX_VALUE;
         double bestPredicted = 0;
         int eligible = 0;
         int starting = 0;
-        for (PlacementCandidate candidate : candidates) {
+        for (PlacementCandidate candidate : offered) {
             if (!isEligible(candidate, engine, request, nowNanos)) {
                 starting += isStartingUp(candidate, engine, request, nowNanos) ? 1 : 0;
                 continue;
             }
             eligible++;
-            if (!hasCapacity(candidate, engine, request, nowNanos)) {
+            if (!hasCapacity(candidate, engine, request, mayClaimSlots, nowNanos)) {
                 continue;
             }
             double predicted = predictMillis(candidate, engine, request, nowNanos);
@@ -96,7 +113,24 @@
         }
         return starting > 0
                 ? new PlacementDecision.StartingUp(starting)
-                : new PlacementDecision.Unavailable(unavailableDetail(candidates, request));
+                : new PlacementDecision.Unavailable(unavailableDetail(offered, request));
+    }
+
+    /**
+     * Selects the upstreams to which this node may send some request now. A particular request may still not fit there.
+     *
+     * @param service the upstreams of the service
+     * @param offered those to select from
+     * @param nowNanos the time, in nanoseconds
+     * @return those with a slot for this node
+     */
+    public List<PlacementCandidate> withFreeSlot(
+            ServiceUpstreams service, List<PlacementCandidate> offered, long nowNanos) {
+        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), nowNanos);
+        return offered.stream()
+                .filter(candidate -> isEligible(candidate, service.engine(), ANY_REQUEST, nowNanos))
+                .filter(candidate -> hasCapacity(candidate, service.engine(), ANY_REQUEST, mayClaimSlots, nowNanos))
+                .toList();
     }
 
     /**
@@ -151,7 +185,11 @@
     }
 
     private boolean hasCapacity(
-            PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+            PlacementCandidate candidate,
+            Optional<EngineProfile> engine,
+            PlacementRequest request,
+            boolean mayClaimSlots,
+            long nowNanos) {
         if (candidate.load().isBackingOff(nowNanos)) {
             return false;
         }
@@ -168,8 +206,9 @@
         long requestTokens = request.prompt().map(PromptShape::totalTokens).orElse(0L);
         int reserved = request.late() ? SLOTS_RESERVED_FOR_ON_TIME : 0;
         int slots = engine.get().slots();
-        return candidate.load().totalInFlight(nowNanos) < slots - reserved
-                && candidate.load().hasShareLeft(slots, nodes.getAsInt(), nowNanos)
+        int claimed = mayClaimSlots && !request.late() ? 1 : 0;
+        return candidate.load().totalInFlight(nowNanos) < slots + claimed - reserved
+                && candidate.load().hasShareLeft(slots, nodes.getAsInt(), mayClaimSlots, nowNanos)
                 && contextTokens + requestTokens <= engine.get().memoryTokens();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -17,6 +17,9 @@
     /** Longer than two report intervals to a distant node. */
     private static final Duration REPORT_OVERDUE_AFTER = Duration.ofSeconds(1);
 
+    /** Longer than the report interval of the slot process, which gives the same slots to other nodes afterwards. */
+    private static final Duration SHARE_VALIDITY = Duration.ofMillis(150);
+
     private static final Duration FIRST_REPORT_TIMEOUT = Duration.ofMillis(1_500);
     private static final double INITIAL_RESIDENCE_MILLIS = 1_500;
     private static final double RESIDENCE_SMOOTHING = 0.1;
@@ -33,6 +36,7 @@
     private Optional<Long> otherIncarnationNanos = Optional.empty();
     private int inFlightAtReport;
     private int sentSinceReport;
+    private int endedSinceReport;
     private double residenceMillis = INITIAL_RESIDENCE_MILLIS;
     private int consecutiveFailures;
     private long backoffUntilNanos = Long.MIN_VALUE / 2;
@@ -56,6 +60,7 @@
      * @param loading whether it is loading weights and accepts no new requests
      * @param untilReload time until its scheduled reload, empty if none is known
      * @param weights the weights that it serves
+     * @param share this node's share of the free slots
      */
     public record LoadReport(
             int running,
@@ -64,11 +69,45 @@
             double pace,
             boolean loading,
             Optional<Duration> untilReload,
-            Optional<WeightsVersion> weights) {
+            Optional<WeightsVersion> weights,
+            SlotShare share) {
         /** Rejects null components. */
         public LoadReport {
             Objects.requireNonNull(untilReload, "untilReload");
             Objects.requireNonNull(weights, "weights");
+            Objects.requireNonNull(share, "share");
+        }
+
+        /**
+         * Creates a report that does not say how the free slots are shared.
+         *
+         * @param running requests in the batch
+         * @param waiting requests that wait for a slot
+         * @param contextTokens total context of the batch, in tokens
+         * @param pace how many times slower than its published figures the engine works
+         * @param loading whether it is loading weights and accepts no new requests
+         * @param untilReload time until its scheduled reload, empty if none is known
+         * @param weights the weights that it serves
+         */
+        public LoadReport(
+                int running,
+                int waiting,
+                double contextTokens,
+                double pace,
+                boolean loading,
+                Optional<Duration> untilReload,
+                Optional<WeightsVersion> weights) {
+            this(running, waiting, contextTokens, pace, loading, untilReload, weights, SlotShare.UNKNOWN);
+        }
+
+        /**
+         * Returns the same report with another share.
+         *
+         * @param newShare the share
+         * @return the report
+         */
+        public LoadReport withShare(SlotShare newShare) {
+            return new LoadReport(running, waiting, contextTokens, pace, loading, untilReload, weights, newShare);
         }
     }
 
@@ -86,6 +125,7 @@
         reportNanos = nowNanos;
         inFlightAtReport = inFlight.size();
         sentSinceReport = 0;
+        endedSinceReport = 0;
     }
 
     /**
@@ -120,6 +160,18 @@
         return report.filter(known -> nowNanos - reportNanos < REPORT_VALIDITY.toNanos());
     }
 
+    /**
+     * Returns whether the upstream has weights and serves requests, as far as its last report says.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return false while a valid report says that it has no weights or loads some
+     */
+    boolean isServing(long nowNanos) {
+        return report(nowNanos)
+                .map(known -> !known.loading() && known.weights().isPresent())
+                .orElse(true);
+    }
+
     /**
      * Returns whether the upstream is new to this node and its first report may still come. Until then its record in the
      * store may describe the weights that it had before it lost power.
@@ -187,6 +239,7 @@
             return;
         }
         if (success) {
+            endedSinceReport++;
             consecutiveFailures = 0;
             double residence = Duration.ofNanos(nowNanos - ended.sentNanos()).toMillis();
             residenceMillis += RESIDENCE_SMOOTHING * (residence - residenceMillis);
@@ -213,7 +266,9 @@
      * @param attempt the attempt
      */
     public void discard(Object attempt) {
-        inFlight.remove(attempt);
+        if (inFlight.remove(attempt) != null) {
+            endedSinceReport++;
+        }
     }
 
     /**
@@ -270,21 +325,36 @@
 
     /**
      * Returns whether this node may use another slot of the upstream. All nodes see the same free slots in a report, so
-     * each node uses only its share of them until the next report. Without a valid report it uses its share of all slots.
+     * each node uses only its share of them until the next report, besides the slots that its own requests have left
+     * since then. It leaves these to others if requests wait in the upstream. Without a valid report it uses its share of
+     * all slots.
      *
      * @param slots how many requests the upstream processes at once
      * @param nodes number of nodes that send to the upstream
+     * @param mayClaimSlots whether it may send a request although it has no share, if none waits in the upstream
      * @param nowNanos the time, in nanoseconds
      * @return whether this node's share is not yet used up
      */
-    public boolean hasShareLeft(int slots, int nodes, long nowNanos) {
-        return report(nowNanos)
-                .map(known -> sentSinceReport < share(slots - known.running() - known.waiting(), nodes))
-                .orElseGet(() -> inFlight.size() < share(slots, nodes));
+    public boolean hasShareLeft(int slots, int nodes, boolean mayClaimSlots, long nowNanos) {
+        Optional<LoadReport> known = report(nowNanos);
+        if (known.isEmpty()) {
+            return inFlight.size() < Math.max(1, slots / Math.max(1, nodes));
+        }
+        int free = Math.max(0, slots - known.get().running() - known.get().waiting());
+        int share = shareOf(free, known.get().share(), nodes, nowNanos);
+        if (known.get().waiting() > 0) {
+            return sentSinceReport < share;
+        }
+        return sentSinceReport < Math.max(mayClaimSlots ? 1 : 0, share + endedSinceReport);
     }
 
-    private static int share(int slots, int nodes) {
-        return Math.max(1, slots / Math.max(1, nodes));
+    private int shareOf(int free, SlotShare share, int nodes, long nowNanos) {
+        int equalShare = free / Math.max(1, nodes);
+        if (!share.isKnown()) {
+            return Math.max(1, equalShare);
+        }
+        boolean valid = nowNanos - reportNanos < SHARE_VALIDITY.toNanos();
+        return valid ? Math.max(share.of(free), equalShare) : equalShare;
     }
 
     /**
--- a/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletionStage;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
+import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.supply.EngineControl;
 import org.galenahinge.supply.EngineWeightsController;
 import org.galenahinge.supply.LoadSchedule;
@@ -44,6 +45,7 @@
             new MetricRegistry());
     private final Map<String, Integer> reportCounts = new HashMap<>();
     private final Set<String> informedOfLoading = new HashSet<>();
+    private final List<String> firstSlots = new ArrayList<>();
     private final LoadAnnouncer announcer = LoadAnnouncer.create(
             "near", new WireAddress("10.0.0.9", 80), roster, weightsController, this::send, timers);
 
@@ -69,6 +71,34 @@
         assertThat(reportCounts.values()).allMatch(count -> count >= minimumReports);
     }
 
+    /**
+     * Many entries in one failure domain: they get reports in turn, so that an engine's VM sends no more with more entries.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 22, 60})
+    void limitsReportsInItsOwnFailureDomain(int local) {
+        roster.update(entries(local, 0));
+        for (int report = 0; report < 40; report++) {
+            announcer.announce(engine.state());
+            timers.advance(Duration.ofMillis(100));
+        }
+        int sent = reportCounts.values().stream().mapToInt(Integer::intValue).sum();
+        assertThat(sent).isEqualTo(40 * 6);
+        assertThat(reportCounts).hasSize(local);
+        assertThat(reportCounts.values()).allMatch(count -> count >= sent / local);
+    }
+
+    /** Each free slot is given to one entry, and to another one with the next report. */
+    @Test
+    void sharesFreeSlotsAmongTheReceiversOfAReport() {
+        roster.update(entries(3, 0));
+        for (int report = 0; report < 3; report++) {
+            announcer.announce(engine.state());
+            timers.advance(Duration.ofMillis(100));
+        }
+        assertThat(firstSlots).hasSize(3).containsOnlyOnce("near-0", "near-1", "near-2");
+    }
+
     /** An entry without the report that an engine loads still sends it requests, which wait until it has loaded. */
     @Test
     void announcesLoadingToAllEntriesBeforeTheLoadCommand() {
@@ -90,13 +120,14 @@
 
     private void send(NodeAddress entry, byte[] datagram) {
         reportCounts.merge(entry.name(), 1, Integer::sum);
-        boolean loading = LoadCodec.decode(ByteBuffer.wrap(datagram))
-                .orElseThrow()
-                .report()
-                .loading();
-        if (loading) {
+        LoadReport report =
+                LoadCodec.decode(ByteBuffer.wrap(datagram)).orElseThrow().report();
+        if (report.loading()) {
             informedOfLoading.add(entry.name());
         }
+        if (report.share().of(1) == 1) {
+            firstSlots.add(entry.name());
+        }
     }
 
     private static List<NodeAddress> entries(int local, int remote) {
--- a/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class AdmissionQueueTest {
     private final AdmissionQueue<String> queue = new AdmissionQueue<>(3);
@@ -30,6 +32,41 @@
         assertThat(dispatched).containsExactly("just came", "waited long");
     }
 
+    /**
+     * Deep queue: under heavy load a slot becomes free with each response, and each one concerns only the first few of
+     * the requests that wait.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 256})
+    void offersOneFreeSlotToTheFirstItemsOnly(int queued) {
+        AdmissionQueue<Integer> deep = new AdmissionQueue<>(256);
+        for (int item = 0; item < queued; item++) {
+            deep.offer(item, 0, item, item % 2 == 0 ? 50 : 5_000, 10_000);
+        }
+        List<Integer> offered = new ArrayList<>();
+        deep.dispatch(1_000, item -> {
+            offered.add(item);
+            return false;
+        });
+        assertThat(offered).hasSize(16).startsWith(1, 3, 5);
+        assertThat(deep.size()).isEqualTo(queued);
+    }
+
+    /** A request whose attempt fails at once is queued again, for another upstream. */
+    @Test
+    void keepsAnItemThatIsQueuedAgainWhileItIsDispatched() {
+        queue.offer("again", 0, 10, 90, 100);
+        List<String> dispatched = new ArrayList<>();
+        queue.dispatch(20, item -> {
+            queue.remove(item);
+            return dispatched.add(item) && queue.offer(item, 0, 10, 90, 100);
+        });
+        assertThat(dispatched).containsExactly("again");
+        assertThat(queue.size()).isEqualTo(1);
+        queue.remove("again");
+        assertThat(queue.size()).isZero();
+    }
+
     @Test
     void rejectsItemsWhenFull() {
         queue.offer("one", 0, 1, 90, 100);
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -151,8 +151,7 @@
             Placement entryPlacement = Placement.create("a", () -> entries, entry);
             PlacementCandidate first = engine("first", "a", 1);
             first.load().recordReport(new LoadReport(0, 0, 0, 1, false, Optional.empty(), weights(1)), NOW);
-            while (entryPlacement.choose(List.of(first), Optional.of(FIGURES), request(500), NOW)
-                    instanceof PlacementDecision.Chosen) {
+            while (entryPlacement.choose(service(first), request(500), NOW) instanceof PlacementDecision.Chosen) {
                 first.load().recordSent(new Object(), 500, NOW);
                 sent++;
             }
@@ -181,8 +180,7 @@
                 .recordReport(
                         new LoadReport(2, 0, 2_000, 1, false, Optional.empty(), weights(1)), NOW - 2_000_000_000L);
         int sent = 0;
-        while (entryPlacement.choose(List.of(overdue), Optional.of(FIGURES), request(500), NOW)
-                instanceof PlacementDecision.Chosen) {
+        while (entryPlacement.choose(service(overdue), request(500), NOW) instanceof PlacementDecision.Chosen) {
             overdue.load().recordSent(new Object(), 500, NOW);
             sent++;
         }
@@ -197,7 +195,11 @@
     }
 
     private PlacementDecision choose(List<PlacementCandidate> candidates, PlacementRequest request) {
-        return placement.choose(candidates, Optional.of(FIGURES), request, NOW);
+        return placement.choose(new ServiceUpstreams(candidates, Optional.of(FIGURES)), request, NOW);
+    }
+
+    private static ServiceUpstreams service(PlacementCandidate... candidates) {
+        return new ServiceUpstreams(List.of(candidates), Optional.of(FIGURES));
     }
 
     private static PlacementRequest request(int promptTokens) {
