Reject a request on arrival when too many wait for it to get a slot in time

Cause: under overload an entry held up to 256 requests for about 0.3 s each, although it places about 5 in that time at the large layout; their callers learned only then that they must come back. Ruled out: a lower capacity of the queue, which would be wrong at another number of entries. Conclusion: what certainly cannot be served is refused on arrival; the rest waits as before.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -269,7 +269,7 @@
         if (choice instanceof PlacementDecision.Chosen chosen) {
             send(chosen);
         } else if (choice instanceof PlacementDecision.Full) {
-            enqueue(deadlines.slotWaitEndNanos());
+            enqueueIfServable(deadlines.slotWaitEndNanos());
         } else if (choice instanceof PlacementDecision.StartingUp) {
             enqueue(deadlines.engineWaitEndNanos());
         } else {
@@ -284,6 +284,17 @@
         }
     }
 
+    /** Rejects the request at once if so many others wait that it would certainly not get a slot in time. */
+    private void enqueueIfServable(long waitEndNanos) {
+        long now = gateway.timers().nanoTime();
+        int ahead = queue.waiting().sizeAhead(deadlines.onTimeNanos(), now);
+        if (!queue.rate().canPlaceInTime(ahead, Duration.ofNanos(Math.max(0, waitEndNanos - now)), now)) {
+            reject(mayHaveRun ? outcomeUnknown("no free slot for a retry") : noFreeSlot());
+            return;
+        }
+        enqueue(waitEndNanos);
+    }
+
     private void enqueue(long waitEndNanos) {
         boolean queued = waitEndNanos - gateway.timers().nanoTime() > 0
                 && queue.waiting()
@@ -330,6 +341,7 @@
                 .with("sent", attempts)
                 .with("waited_ms", waitedMillis)
                 .write();
+        queue.rate().recordPlaced(gateway.timers().nanoTime());
         int prompt = request.metadata().prompt().map(PromptShape::promptTokens).orElse(0);
         candidate.load().recordSent(next, prompt, gateway.timers().nanoTime());
         double idleShare = admitted.route().kind().isIdempotent() ? IDEMPOTENT_IDLE_SHARE : NON_IDEMPOTENT_IDLE_SHARE;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.galenahinge.placement.Placement;
 import org.galenahinge.placement.PlacementCandidate;
 import org.galenahinge.placement.PlacementDecision;
+import org.galenahinge.placement.PlacementRate;
 import org.galenahinge.placement.PlacementRequest;
 import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.ServiceRetryBudget;
@@ -187,6 +188,7 @@
                 service,
                 name -> new ServiceQueue(
                         new AdmissionQueue<>(WAITING_CAPACITY),
+                        new PlacementRate(timers.nanoTime()),
                         ServiceRetryBudget.create(settings.retryBudget(), timers.nanoTime())));
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -122,6 +122,19 @@
         dispatch(late, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH - skipped, dispatcher);
     }
 
+    /**
+     * Returns how many queued items an item that is added now would have ahead of it, if all have its priority.
+     *
+     * @param onTimeUntilNanos time until which the response of the item can still be on time, in nanoseconds
+     * @param nowNanos the time, in nanoseconds
+     * @return all items, or only those that can be on time if the new one can
+     */
+    public int sizeAhead(long onTimeUntilNanos, long nowNanos) {
+        separateLate(nowNanos);
+        boolean itemIsLate = nowNanos - onTimeUntilNanos >= 0;
+        return itemIsLate ? waiters.size() : onTime.size();
+    }
+
     /**
      * Returns the number of queued items.
      *
--- a/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
@@ -67,6 +67,14 @@
         assertThat(queue.size()).isZero();
     }
 
+    @Test
+    void countsOnlyItemsThatCanBeOnTimeAheadOfOneThatCan() {
+        queue.offer("late", 0, 1, 40, 100);
+        queue.offer("early", 0, 2, 90, 100);
+        assertThat(queue.sizeAhead(95, 50)).isEqualTo(1);
+        assertThat(queue.sizeAhead(45, 50)).isEqualTo(2);
+    }
+
     @Test
     void rejectsItemsWhenFull() {
         queue.offer("one", 0, 1, 90, 100);
