Read on while a caller still sends a body that is too large

Cause: the entry rejects a body by its announced length and then closes the connection. A caller that is still sending finds it reset; a client that reports the failed write first never reads the 413. This is what refusesAnOversizedRequestAndAForgedKeyAsNotRun showed once, on a busy machine, where the client was still sending. Ruled out: a connection from the pool that the server had closed: the entry consumes each other body that it rejects. Change: the entry reads on for at most 5 s and 64 MB while the 413 is sent.

--- a/bench/src/test/java/org/galenahinge/bench/WholePathTest.java
+++ b/bench/src/test/java/org/galenahinge/bench/WholePathTest.java
@@ -8,11 +8,15 @@
 import dev.langchain4j.model.chat.response.StreamingChatResponseHandler;
 import dev.langchain4j.model.openai.OpenAiChatModel;
 import dev.langchain4j.model.openai.OpenAiStreamingChatModel;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -143,6 +147,29 @@
         assertThat(forged.headers().firstValue("Galenahinge-Verdict")).contains("may-have-run");
     }
 
+    /** A caller that is still sending when its request is rejected must get the rejection, not a reset connection. */
+    @Test
+    void readsOnWhileACallerSendsAnOversizedBody() throws IOException {
+        URI entry = URI.create(fleet.entryUrl());
+        byte[] piece = "x".repeat(64 << 10).getBytes(StandardCharsets.US_ASCII);
+        int pieces = 32;
+        try (Socket socket = new Socket(entry.getHost(), entry.getPort())) {
+            socket.setSoTimeout((int) START_TIMEOUT.toMillis());
+            String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: " + entry.getAuthority() + "\r\nContent-Length: "
+                    + (long) pieces * piece.length + "\r\nContent-Type: application/json\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            BufferedReader response =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            assertThat(response.readLine()).startsWith("HTTP/1.1 413");
+            for (int sent = 0; sent < pieces; sent++) {
+                socket.getOutputStream().write(piece);
+                socket.getOutputStream().flush();
+            }
+            assertThat(response.lines().takeWhile(line -> !line.isEmpty()))
+                    .anyMatch(line -> line.equalsIgnoreCase("Galenahinge-Reason: too-large"));
+        }
+    }
+
     @Test
     void listsTheEntriesThatCallersMayUse() {
         JsonNode entries = HttpTool.get(fleet.entryUrl() + "/v1/entries").orElseThrow();
--- a/galenahinge/src/main/java/org/galenahinge/entry/CallerHttp.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/CallerHttp.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -37,6 +38,8 @@
             Pattern.compile("/v1/services/([A-Za-z0-9][A-Za-z0-9._-]{0,62})(/[A-Za-z0-9._/-]*)");
     private static final String KEYS_PATH = "/keys";
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(5);
+    private static final long MAXIMUM_DISCARDED_BYTES = 64L << 20;
 
     private final ActorSystem<?> system;
     private final RequestReader reader;
@@ -177,6 +180,11 @@
 
     /** Reads the body; empty if it is too large, incomplete or takes longer than {@link #BODY_TIMEOUT}. */
     private CompletionStage<Optional<byte[]>> readBody(HttpRequest httpRequest) {
+        OptionalLong length = httpRequest.entity().getContentLengthOption();
+        if (length.isPresent() && length.getAsLong() > maximumBodyBytes) {
+            discardBody(httpRequest);
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         return httpRequest
                 .entity()
                 .withSizeLimit(maximumBodyBytes)
@@ -185,6 +193,20 @@
                         .map(strict -> strict.getData().toArray()));
     }
 
+    /**
+     * Reads a body that is too large, up to a limit, while the rejection is sent. If the connection were closed at once, a
+     * caller that is still sending would find it reset and might never read the rejection.
+     */
+    private void discardBody(HttpRequest httpRequest) {
+        httpRequest
+                .entity()
+                .withoutSizeLimit()
+                .getDataBytes()
+                .takeWithin(DISCARD_TIMEOUT)
+                .limitWeighted(MAXIMUM_DISCARDED_BYTES, part -> (long) part.size())
+                .runWith(Sink.ignore(), system);
+    }
+
     private CompletionStage<HttpResponse> rejectBody(String requestId) {
         String detail = "body: could not be read, or is larger than " + maximumBodyBytes + " bytes";
         return rejected(requestId, Verdict.notRun(Reason.TOO_LARGE, detail, Duration.ZERO));
