--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.placement.AdmissionQueue;
+import org.galenahinge.placement.LoadReport;
 import org.galenahinge.placement.Placement;
 import org.galenahinge.placement.PlacementCandidate;
 import org.galenahinge.placement.PlacementDecision;
@@ -27,7 +28,6 @@
 import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.ServiceRetryBudget;
 import org.galenahinge.placement.ServiceUpstreams;
-import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -143,11 +143,7 @@
                 <= engine.map(EngineProfile::memoryTokens).orElse(0L);
         boolean readySoon = candidate.load().isAwaitingFirstReport(nowNanos)
                 || candidate.load().isReplaced(nowNanos)
-                || candidate
-                        .load()
-                        .report(nowNanos)
-                        .filter(UpstreamLoad.LoadReport::loading)
-                        .isPresent();
+                || candidate.load().report(nowNanos).filter(LoadReport::loading).isPresent();
         return fitsMemory
                 && readySoon
                 && !candidate.upstream().leaving()
@@ -201,8 +197,7 @@
         if (report.isPresent() && report.get().loading()) {
             return false;
         }
-        double contextTokens =
-                report.map(UpstreamLoad.LoadReport::contextTokens).orElse(0.0);
+        double contextTokens = report.map(LoadReport::contextTokens).orElse(0.0);
         long requestTokens = request.prompt().map(PromptShape::totalTokens).orElse(0L);
         int reserved = request.late() ? SLOTS_RESERVED_FOR_ON_TIME : 0;
         int slots = engine.get().slots();
@@ -229,7 +224,7 @@
             PlacementRequest request,
             double predictedMillis,
             long nowNanos) {
-        var untilReload = candidate.load().report(nowNanos).flatMap(UpstreamLoad.LoadReport::untilReload);
+        var untilReload = candidate.load().report(nowNanos).flatMap(LoadReport::untilReload);
         if (engine.isEmpty() || untilReload.isEmpty() || request.prompt().isEmpty()) {
             return 0;
         }
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import org.galenahinge.catalog.EngineProfile;
-import org.galenahinge.upstream.WeightsVersion;
 
 /**
  * What this node knows of the load of one upstream: the requests this node has in flight there, and the last load report
@@ -50,67 +48,6 @@
         this.firstSeenNanos = firstSeenNanos;
     }
 
-    /**
-     * A slot process's report of its upstream's load.
-     *
-     * @param running requests in the batch
-     * @param waiting requests that wait for a slot
-     * @param contextTokens total context of the batch, in tokens
-     * @param pace how many times slower than its published figures the engine works
-     * @param loading whether it is loading weights and accepts no new requests
-     * @param untilReload time until its scheduled reload, empty if none is known
-     * @param weights the weights that it serves
-     * @param share this node's share of the free slots
-     */
-    public record LoadReport(
-            int running,
-            int waiting,
-            double contextTokens,
-            double pace,
-            boolean loading,
-            Optional<Duration> untilReload,
-            Optional<WeightsVersion> weights,
-            SlotShare share) {
-        /** Rejects null components. */
-        public LoadReport {
-            Objects.requireNonNull(untilReload, "untilReload");
-            Objects.requireNonNull(weights, "weights");
-            Objects.requireNonNull(share, "share");
-        }
-
-        /**
-         * Creates a report that does not say how the free slots are shared.
-         *
-         * @param running requests in the batch
-         * @param waiting requests that wait for a slot
-         * @param contextTokens total context of the batch, in tokens
-         * @param pace how many times slower than its published figures the engine works
-         * @param loading whether it is loading weights and accepts no new requests
-         * @param untilReload time until its scheduled reload, empty if none is known
-         * @param weights the weights that it serves
-         */
-        public LoadReport(
-                int running,
-                int waiting,
-                double contextTokens,
-                double pace,
-                boolean loading,
-                Optional<Duration> untilReload,
-                Optional<WeightsVersion> weights) {
-            this(running, waiting, contextTokens, pace, loading, untilReload, weights, SlotShare.UNKNOWN);
-        }
-
-        /**
-         * Returns the same report with another share.
-         *
-         * @param newShare the share
-         * @return the report
-         */
-        public LoadReport withShare(SlotShare newShare) {
-            return new LoadReport(running, waiting, contextTokens, pace, loading, untilReload, weights, newShare);
-        }
-    }
-
     private record InFlight(int promptTokens, long sentNanos, boolean awaitsFirstEvent) {}
 
     /**
--- a/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.CompletionStage;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
-import org.galenahinge.placement.UpstreamLoad.LoadReport;
+import org.galenahinge.placement.LoadReport;
 import org.galenahinge.supply.EngineControl;
 import org.galenahinge.supply.EngineWeightsController;
 import org.galenahinge.supply.LoadSchedule;
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.galenahinge.catalog.EngineProfile;
-import org.galenahinge.placement.UpstreamLoad.LoadReport;
 import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.WeightsVersion;
 import org.galenahinge.wire.WireAddress;
