--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -222,6 +222,19 @@
         return status >= OK && status < MULTIPLE_CHOICES;
     }
 
+    /** Whether the response is held until it is complete, because the request may be sent to another upstream. */
+    private boolean mayBeRetried() {
+        return notRun || isFailure();
+    }
+
+    private boolean isFailure() {
+        return status >= SERVER_ERROR || impliesNotRun();
+    }
+
+    private boolean impliesNotRun() {
+        return status == 408 || status == MISDIRECTED_REQUEST || status == 429 || status == 503;
+    }
+
     private void recordFirstByte() {
         if (firstByteNanos == 0) {
             firstByteNanos = now();
@@ -234,7 +247,7 @@
         if (buffered.readableBytes() <= MAXIMUM_BUFFERED_BYTES) {
             return;
         }
-        if (!isSuccess()) {
+        if (mayBeRetried()) {
             abort("the body of a response with status " + status + " is larger than " + MAXIMUM_BUFFERED_BYTES
                     + " bytes");
             return;
@@ -301,10 +314,8 @@
             end(Outcome.NOT_RUN, "the upstream rejected the request with status " + status);
             return;
         }
-        boolean impliesNotRun = status == 408 || status == MISDIRECTED_REQUEST || status == 429 || status == 503;
-        boolean failure = status >= SERVER_ERROR || impliesNotRun;
-        candidate.load().recordEnd(this, !failure, now());
-        if (!failure) {
+        candidate.load().recordEnd(this, !isFailure(), now());
+        if (!isFailure()) {
             forwardBuffered();
             return;
         }
@@ -312,7 +323,7 @@
         cancelTimers();
         // These statuses suggest that the request did not run. They are not passed on, because the upstream has not
         // stated explicitly that it did not run the request.
-        Outcome outcome = impliesNotRun ? Outcome.UNKNOWN : Outcome.FAILED;
+        Outcome outcome = impliesNotRun() ? Outcome.UNKNOWN : Outcome.FAILED;
         if (request.attemptFailed(this, outcome, "the upstream responded with status " + status)) {
             forwardBuffered();
         } else {
--- a/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LoadAnnouncer.java
@@ -16,8 +16,8 @@
 /**
  * Sends an engine's load reports to the entries: with each report to some of this failure domain in turn, less often to
  * some of the others, and to all at once when the engine is about to stop serving in order to load. So its cost does not
- * grow with the number of entries. Each report shares the engine's
- * free slots among its receivers, those of this failure domain first. Not thread-safe.
+ * grow with the number of entries. Each report shares the engine's free slots among its receivers, those of this failure
+ * domain first. Not thread-safe.
  */
 final class LoadAnnouncer {
     private static final Duration REMOTE_INTERVAL = Duration.ofMillis(400);
