--- a/galenahinge/src/main/java/org/galenahinge/entry/CallerHttp.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/CallerHttp.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -182,8 +183,7 @@
     private CompletionStage<Optional<byte[]>> readBody(HttpRequest httpRequest) {
         OptionalLong length = httpRequest.entity().getContentLengthOption();
         if (length.isPresent() && length.getAsLong() > maximumBodyBytes) {
-            discardBody(httpRequest);
-            return CompletableFuture.completedFuture(Optional.empty());
+            return discardBody(httpRequest).handle((done, error) -> Optional.empty());
         }
         return httpRequest
                 .entity()
@@ -194,11 +194,11 @@
     }
 
     /**
-     * Reads a body that is too large, up to a limit, while the rejection is sent. If the connection were closed at once, a
-     * caller that is still sending would find it reset and might never read the rejection.
+     * Reads a body that is too large, up to a limit, before it is rejected. The server closes the connection with a response
+     * that is sent earlier, and a caller that is still sending would find it reset and might never read the rejection.
      */
-    private void discardBody(HttpRequest httpRequest) {
-        httpRequest
+    private CompletionStage<Done> discardBody(HttpRequest httpRequest) {
+        return httpRequest
                 .entity()
                 .withoutSizeLimit()
                 .getDataBytes()
