--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Stands in for an upstream of the platform, with or without an engine. It responds to requests, streams events if the
@@ -17,6 +19,8 @@
  */
 public final class UpstreamStandIn implements AutoCloseable {
     private static final int STREAM_EVENTS = 6;
+    private static final int STALLED_BYTES = 300;
+    private static final Duration STALLED_BYTE_INTERVAL = Duration.ofMillis(100);
     private static final int ENDLESS_BODY_PART_BYTES = 16 << 10;
 
     /** Parts after which an endless body stops all the same, so that a test ends. */
@@ -44,6 +48,8 @@
         CROSS_ANSWER,
         /** It closes the connection of a stream in the middle of an event. */
         CUT_STREAM,
+        /** It sends one byte of an event now and then, which never completes the event. */
+        STALL_STREAM,
         /** It runs the request and responds with status 503, without declaring that it did not run. */
         FALSE_REFUSAL,
         /** It runs the request and responds with status 500. */
@@ -224,11 +230,23 @@
                 body.flush();
                 throw new IOException("stream cut off by fault CUT_STREAM");
             }
+            if (fault == Fault.STALL_STREAM && event == STREAM_EVENTS / 2) {
+                stall(body);
+            }
             body.write(("id: " + event + "\ndata: token" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
             body.flush();
         }
     }
 
+    private static void stall(OutputStream body) throws IOException {
+        for (int sent = 0; sent < STALLED_BYTES; sent++) {
+            body.write('x');
+            body.flush();
+            LockSupport.parkNanos(STALLED_BYTE_INTERVAL.toNanos());
+        }
+        throw new IOException("the caller read a stalled stream");
+    }
+
     private void recordHeaders(HttpExchange exchange) {
         Map<String, String> headers = new ConcurrentHashMap<>();
         exchange.getRequestHeaders()
