--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -51,6 +51,7 @@
     private boolean forwardingBody;
     private boolean done;
     private boolean sent;
+    private int events;
     private long lastProgressNanos;
     private long firstByteNanos;
 
@@ -191,6 +192,11 @@
         return sent;
     }
 
+    /** Returns how many events of its stream were passed on. */
+    int events() {
+        return events;
+    }
+
     long ageMillis() {
         return Duration.ofNanos(now() - startedNanos).toMillis();
     }
@@ -288,6 +294,7 @@
             return;
         }
         lastProgressNanos = now();
+        events++;
         candidate.load().recordFirstEvent(this);
         writeHead();
         id.ifPresent(request::recordDelivered);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.galenahinge.catalog.Organisation;
 import org.galenahinge.catalog.Route;
 import org.galenahinge.concurrent.Timers.Timer;
@@ -24,6 +25,7 @@
 import org.galenahinge.placement.RetryPolicy.Next;
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.RetryPolicy.Progress;
+import org.galenahinge.quarantine.PromptPart;
 import org.galenahinge.upstream.UpstreamPool;
 
 /**
@@ -186,6 +188,8 @@
                 .with("first_byte_ms", done.firstByteMillis())
                 .with("predicted_ms", done.predictedMillis())
                 .with("took_ms", millisSince(request.arrivedNanos()))
+                .with("events", done.events())
+                .with("parts", partsText())
                 .write();
     }
 
@@ -211,6 +215,8 @@
                 .with("next", next.name())
                 .with("sent", attempts)
                 .with("after_ms", done.ageMillis())
+                .with("events", done.events())
+                .with("parts", partsText())
                 .with("budget_left", (long) queue.retryBudget().remaining(gateway.nodes()))
                 .write();
         switch (next) {
@@ -434,6 +440,12 @@
         }
     }
 
+    private String partsText() {
+        return request.metadata().sharedParts().stream()
+                .map(PromptPart::toString)
+                .collect(Collectors.joining(","));
+    }
+
     private long millisSince(long nanos) {
         return Duration.ofNanos(gateway.timers().nanoTime() - nanos).toMillis();
     }
--- a/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
@@ -58,7 +58,11 @@
 
     private static CallerRequest request(long remainingMillis) {
         RequestMetadata metadata = new RequestMetadata(
-                Optional.empty(), Optional.of(Duration.ofMillis(remainingMillis)), Optional.empty(), Optional.empty());
+                Optional.empty(),
+                Optional.of(Duration.ofMillis(remainingMillis)),
+                Optional.empty(),
+                Optional.empty(),
+                List.of());
         return new CallerRequest(
                 HttpMethod.POST, "/x", HttpVersion.HTTP_1_1, new DefaultHttpHeaders(), new byte[0], metadata, ARRIVED);
     }
