--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -211,6 +211,20 @@
         return settings(name, "edge", listen, ports, "");
     }
 
+    /**
+     * Creates the settings file of an entry that finds the others through another entry.
+     *
+     * @param name the name of its VM
+     * @param ports the ports on which it listens
+     * @param seed the ports of the other entry
+     * @return the contents of the file
+     */
+    public byte[] entrySettings(String name, Ports ports, Ports seed) {
+        String text = new String(entrySettings(name, ports), StandardCharsets.UTF_8);
+        return text.replace("\"seeds\":[\"127.0.0.1:" + ports.control, "\"seeds\":[\"127.0.0.1:" + seed.control)
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
     /**
      * Creates the settings file of a slot process.
      *
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
@@ -7,10 +7,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
 
 /**
  * Stands in for an upstream of the platform, with or without an engine. It responds to requests, streams events if the
@@ -35,6 +37,8 @@
     private final long incarnationMillis = System.currentTimeMillis();
     private volatile long weightsVersion;
     private volatile Fault fault = Fault.NONE;
+    private volatile Optional<String> crashingPart = Optional.empty();
+    private volatile boolean crashed;
 
     /** The faults that an upstream can simulate. */
     public enum Fault {
@@ -104,6 +108,37 @@
         fault = newFault;
     }
 
+    /**
+     * Makes it crash when it begins to respond to a request whose prompt contains a part: it closes its connections in
+     * the middle of the first event, and accepts no others.
+     *
+     * @param part the id of the part
+     */
+    public void crashOn(String part) {
+        crashingPart = Optional.of(part);
+    }
+
+    /**
+     * Returns whether it has crashed.
+     *
+     * @return whether it accepts no connections any more
+     */
+    public boolean hasCrashed() {
+        return crashed;
+    }
+
+    /**
+     * Returns how many requests with a part in their prompts it received.
+     *
+     * @param part the id of the part
+     * @return the number of requests
+     */
+    public long requestsWithPart(String part) {
+        return requestHeaders.stream()
+                .filter(headers -> promptContains(headers.getOrDefault("prompt-prefix", ""), part))
+                .count();
+    }
+
     /**
      * Returns the ids of the requests that it ran, in the order in which they ran.
      *
@@ -224,6 +259,15 @@
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
         OutputStream body = exchange.getResponseBody();
+        String prompt = exchange.getRequestHeaders().getFirst("Prompt-Prefix");
+        if (prompt != null
+                && crashingPart.filter(part -> promptContains(prompt, part)).isPresent()) {
+            body.write("id: 1\ndata: ha".getBytes(StandardCharsets.UTF_8));
+            body.flush();
+            crashed = true;
+            server.close();
+            throw new IOException("crashed");
+        }
         for (int event = first; event <= STREAM_EVENTS; event++) {
             if (fault == Fault.CUT_STREAM && event == STREAM_EVENTS / 2) {
                 body.write(("id: " + event + "\ndata: ha").getBytes(StandardCharsets.UTF_8));
@@ -238,6 +282,10 @@
         }
     }
 
+    private static boolean promptContains(String prompt, String part) {
+        return Stream.of(prompt.split(",")).anyMatch(entry -> entry.startsWith(part + ":"));
+    }
+
     private static void stall(OutputStream body) throws IOException {
         for (int sent = 0; sent < STALLED_BYTES; sent++) {
             body.write('x');
