Keep prompts that crash engines away from all engines

Cause: a request that ends its engine looks like any broken connection, and what an entry sees of it stays with the request. Class: a retry that spreads a deterministic failure, and evidence that no node puts together.

Change: an entry that loses a connection before the first event asks the engine's address whether it still listens; if it does not, the engine has crashed, and the shared parts of the prompts that were there are suspects (CrashDetector). Entries exchange such crashes as a merge that order, loss and repetition do not change (CrashLedger, CrashGossip); a part that brings an event at any engine is cleared. The part that explains most crashes is the cause (CrashAttribution); what it explains speaks against no other part, so sound requests with the same first part or organisation go on. A request with the cause is rejected at once, before it is placed, retried or taken from the queue. Doubtful causes are tried again, by one entry, twice at most. All is bounded: 64 crashes of 64 parts, and the last event of 1,024 parts. An entry that starts or stood still asks three others for all crashes.

Ruled out: overload (the first two engines ended with one request each); resumption (the first end was no retry).

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -167,6 +167,7 @@
     @Override
     public void onFailure(String detail) {
         connection = Optional.empty();
+        recordLostConnection();
         candidate.load().recordEnd(this, false, now());
         end(Outcome.UNKNOWN, detail);
     }
@@ -294,6 +295,9 @@
             return;
         }
         lastProgressNanos = now();
+        if (events == 0) {
+            recordServed();
+        }
         events++;
         candidate.load().recordFirstEvent(this);
         writeHead();
@@ -304,6 +308,7 @@
     private void endStream() {
         if (splitter.hasIncompleteEvent()) {
             releaseConnection();
+            recordLostConnection();
             candidate.load().recordEnd(this, false, now());
             end(Outcome.UNKNOWN, "the stream ended within an event");
             return;
@@ -339,11 +344,32 @@
     }
 
     private void forwardBuffered() {
+        if (isSuccess()) {
+            recordServed();
+        }
         complete(true);
         request.response().writeComplete(status, headers, buffered);
         request.attemptAnswered(this, status);
     }
 
+    private void recordServed() {
+        request.gateway()
+                .crashLedger()
+                .recordServed(request.callerRequest().metadata().sharedParts(), now());
+    }
+
+    /** An attempt that has brought an event did not crash the engine: it would have done so before. */
+    private void recordLostConnection() {
+        if (events == 0) {
+            request.gateway()
+                    .crashDetector()
+                    .connectionLost(
+                            candidate.upstream(),
+                            pool,
+                            request.callerRequest().metadata().sharedParts());
+        }
+    }
+
     private void abort(String detail) {
         connection.ifPresent(HttpConnection::close);
         connection = Optional.empty();
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.galenahinge.catalog.Organisation;
 import org.galenahinge.catalog.Route;
 import org.galenahinge.concurrent.Timers.Timer;
@@ -122,6 +121,11 @@
         if (ended) {
             return true;
         }
+        if (isQuarantined()) {
+            waiting = false;
+            rejectQuarantined();
+            return true;
+        }
         PlacementDecision choice = gateway.choose(
                 admitted.service(), candidates, request.metadata().prompt(), triedUpstreams, isLate());
         if (!(choice instanceof PlacementDecision.Chosen chosen)) {
@@ -189,7 +193,7 @@
                 .with("predicted_ms", done.predictedMillis())
                 .with("took_ms", millisSince(request.arrivedNanos()))
                 .with("events", done.events())
-                .with("parts", partsText())
+                .with("parts", PromptPart.join(request.metadata().sharedParts()))
                 .write();
     }
 
@@ -216,7 +220,7 @@
                 .with("sent", attempts)
                 .with("after_ms", done.ageMillis())
                 .with("events", done.events())
-                .with("parts", partsText())
+                .with("parts", PromptPart.join(request.metadata().sharedParts()))
                 .with("budget_left", (long) queue.retryBudget().remaining(gateway.nodes()))
                 .write();
         switch (next) {
@@ -271,6 +275,10 @@
             deadlineReached();
             return;
         }
+        if (isQuarantined()) {
+            rejectQuarantined();
+            return;
+        }
         PlacementDecision choice = choose();
         if (choice instanceof PlacementDecision.Chosen chosen) {
             send(chosen);
@@ -402,6 +410,23 @@
         return Rejection.mayHaveRun("may_have_run", detail);
     }
 
+    private boolean isQuarantined() {
+        return gateway.crashLedger()
+                .isQuarantined(
+                        request.metadata().sharedParts(), gateway.timers().nanoTime());
+    }
+
+    private void rejectQuarantined() {
+        String detail = "the prompt contains a part that crashes engines";
+        reject(
+                mayHaveRun
+                        ? outcomeUnknown(detail)
+                        : Rejection.notRun(
+                                "quarantined",
+                                detail,
+                                RetryAfterPolicy.afterOutage(remainingTime(), gateway.randomFraction())));
+    }
+
     private void reject(Rejection rejection) {
         boolean claimsNotRun = rejection.status() == 503;
         if (claimsNotRun && mayHaveRun) {
@@ -440,12 +465,6 @@
         }
     }
 
-    private String partsText() {
-        return request.metadata().sharedParts().stream()
-                .map(PromptPart::toString)
-                .collect(Collectors.joining(","));
-    }
-
     private long millisSince(long nanos) {
         return Duration.ofNanos(gateway.timers().nanoTime() - nanos).toMillis();
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.ServiceRetryBudget;
 import org.galenahinge.placement.ServiceUpstreams;
+import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
 
@@ -47,6 +48,8 @@
     private final Placement placement;
     private final Random random;
     private final UpstreamTable upstreams;
+    private final CrashLedger crashLedger;
+    private final CrashDetector crashDetector;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
     private boolean queueScanScheduled;
@@ -61,6 +64,7 @@
             EventLog log,
             MetricRegistry registry,
             IntSupplier nodes,
+            CrashLedger crashLedger,
             long seed) {
         this.settings = settings;
         this.facts = facts;
@@ -72,6 +76,8 @@
         this.placement = Placement.create(settings.failureDomain(), nodes, seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
+        this.crashLedger = crashLedger;
+        this.crashDetector = new CrashDetector(crashLedger, timers, log);
         registry.gauge("upstream.known", () -> upstreams::size);
     }
 
@@ -86,6 +92,7 @@
      * @param log the log for decisions
      * @param registry the registry for metrics
      * @param nodes returns the number of nodes that share the retry budgets and the capacity of upstreams
+     * @param crashLedger the crashes of engines that this and other nodes have seen
      * @param seed the seed for random choices
      * @return the gateway
      */
@@ -98,6 +105,7 @@
             EventLog log,
             MetricRegistry registry,
             IntSupplier nodes,
+            CrashLedger crashLedger,
             long seed) {
         return new Gateway(
                 Objects.requireNonNull(settings, "settings"),
@@ -108,6 +116,7 @@
                 Objects.requireNonNull(log, "log"),
                 Objects.requireNonNull(registry, "registry"),
                 Objects.requireNonNull(nodes, "nodes"),
+                Objects.requireNonNull(crashLedger, "crashLedger"),
                 seed);
     }
 
@@ -175,6 +184,14 @@
         return metrics;
     }
 
+    CrashLedger crashLedger() {
+        return crashLedger;
+    }
+
+    CrashDetector crashDetector() {
+        return crashDetector;
+    }
+
     double randomFraction() {
         return random.nextDouble();
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -26,6 +26,7 @@
 import org.galenahinge.http.HttpServer;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
+import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.supply.WeightsCache;
 import org.galenahinge.wire.DatagramNetwork;
 import org.galenahinge.wire.EventLoopTimers;
@@ -56,6 +57,9 @@
     private final FactRelay relay;
     private final WeightsServer weightsServer;
     private final Gateway gateway;
+    private final CrashLedger crashLedger;
+    private final CrashGossip crashGossip;
+    private DatagramNetwork crashDatagrams;
     private CallerServer callerServer;
     private long stopNanos;
     private boolean stopping;
@@ -84,6 +88,10 @@
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
         GatewaySettings gatewaySettings = new GatewaySettings(
                 settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout());
+        this.crashLedger = CrashLedger.create(
+                part -> roster.assigneeOf("trial/" + part).filter(self::equals).isPresent());
+        this.crashGossip = new CrashGossip(
+                self, roster, crashLedger, (to, bytes) -> crashDatagrams.send(to, bytes), timers, log, seed);
         this.gateway = Gateway.create(
                 gatewaySettings,
                 loop,
@@ -93,6 +101,7 @@
                 log,
                 metrics,
                 membership::memberCount,
+                crashLedger,
                 seed);
         EntryWeightsSources weightsSources = new EntryWeightsSources(
                 settings,
@@ -204,6 +213,8 @@
                 CallerServer.listen(gateway, threads, settings.callerAddress().orElseThrow());
         HttpServer.serve(threads, settings.peerAddress().orElseThrow(), this::handleNodeRequest);
         membership.listen(threads, new WireAddress(settings.address(), settings.membershipPort()), metrics);
+        crashDatagrams =
+                DatagramNetwork.listen(threads, self.crashes(), metrics, CrashCodec::decode, crashGossip::receive);
         DatagramNetwork.listen(
                 threads,
                 new WireAddress(settings.address(), settings.loadPort()),
@@ -236,6 +247,7 @@
             return;
         }
         membership.join();
+        crashGossip.start();
         ready = true;
         log.event(Category.LIFECYCLE, "ready")
                 .with("config", facts.catalog().get().version())
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -93,6 +93,11 @@
         return others.isEmpty() ? Optional.empty() : Optional.of(others.get(random.nextInt(others.size())));
     }
 
+    /** Returns the entry that a duty is assigned to. */
+    Optional<NodeAddress> assigneeOf(String duty) {
+        return assignee(up, duty);
+    }
+
     /** Returns the entry among the given ones that rendezvous hashing assigns a duty to. */
     static Optional<NodeAddress> assignee(Collection<NodeAddress> entries, String duty) {
         long key = Rendezvous.key(duty);
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeAddress.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeAddress.java
@@ -81,4 +81,9 @@
     WireAddress membership() {
         return new WireAddress(address, membershipPort);
     }
+
+    /** Returns where the entry listens for crashes of engines. */
+    WireAddress crashes() {
+        return new WireAddress(address, NodeSettings.crashPort(membershipPort));
+    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
@@ -15,7 +15,7 @@
  * @param address the IP address of this VM
  * @param zone the failure domain of this VM
  * @param regions the region of each failure domain, by failure domain
- * @param firstInternalPort the first of three consecutive ports for traffic between nodes and for metrics
+ * @param firstInternalPort the first of four consecutive ports for traffic between nodes and for metrics
  * @param callerAddress the address where an entry listens for callers
  * @param peerAddress the address where an entry listens for other nodes
  * @param seeds addresses of entries to contact while no other entry is known
@@ -101,4 +101,9 @@
     public int metricsPort() {
         return firstInternalPort + 2;
     }
+
+    /** Returns the UDP port of an entry for crashes of engines, given its first port. */
+    static int crashPort(int firstInternalPort) {
+        return firstInternalPort + 3;
+    }
 }
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -0,0 +1,275 @@
+package org.galenahinge.quarantine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.galenahinge.quarantine.CrashAttribution.Cause;
+
+/**
+ * The crashes of engines that a node has seen or heard of, and the parts of prompts that cause them. A request with such a
+ * part is in quarantine: it must not reach another engine.
+ *
+ * <p>Its size does not depend on the number of requests: it holds a bounded number of crashes, and when a bounded number
+ * of parts last brought an event. Not thread-safe.
+ */
+public final class CrashLedger {
+    /** The maximum number of crashes that are held. */
+    public static final int MAXIMUM_CRASHES = 64;
+
+    private static final int MAXIMUM_SERVED_PARTS = 1_024;
+    private static final int MAXIMUM_TRIED_CAUSES = 64;
+
+    /** Until a crash counts, requests that were there may bring an event at another engine and clear their parts. */
+    private static final Duration SETTLE_TIME = Duration.ofMillis(700);
+
+    private static final Duration RETENTION = Duration.ofHours(1);
+    private static final Duration TRIAL_INTERVAL = Duration.ofSeconds(10);
+
+    /** After these, further trials of a cause would crash as many engines as make it certain. */
+    private static final int MAXIMUM_TRIALS = CrashAttribution.CERTAIN_CRASHES - CrashAttribution.MINIMUM_CRASHES;
+
+    private final Predicate<PromptPart> triedHere;
+    private final Map<Long, Entry> crashes = new LinkedHashMap<>();
+    private final Map<PromptPart, Long> servedNanos = boundedMap(MAXIMUM_SERVED_PARTS);
+    private final Map<Set<PromptPart>, Trials> trials = boundedMap(MAXIMUM_TRIED_CAUSES);
+    private List<Cause> causes = List.of();
+    private Optional<Long> nextChangeNanos = Optional.empty();
+
+    private CrashLedger(Predicate<PromptPart> triedHere) {
+        this.triedHere = triedHere;
+    }
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param triedHere whether this node is the one that may try a request with a part whose guilt is not certain
+     * @return the ledger
+     */
+    public static CrashLedger create(Predicate<PromptPart> triedHere) {
+        return new CrashLedger(Objects.requireNonNull(triedHere, "triedHere"));
+    }
+
+    /** A crash, when it happened and when this node last learnt something new of it, both in nanoseconds. */
+    private record Entry(Crash crash, long crashNanos, long changedNanos) {}
+
+    private record Trials(int count, long startedNanos) {}
+
+    /**
+     * A crash as one node tells another.
+     *
+     * @param crash the crash
+     * @param age how long ago it happened
+     */
+    public record AgedCrash(Crash crash, Duration age) {
+        /** Rejects null components and a negative age. */
+        public AgedCrash {
+            Objects.requireNonNull(crash, "crash");
+            if (age.isNegative()) {
+                throw new IllegalArgumentException("age must not be negative: " + age);
+            }
+        }
+    }
+
+    /**
+     * Adds what this or another node knows of a crash.
+     *
+     * @param reported the crash
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void add(AgedCrash reported, long nowNanos) {
+        removeExpired(nowNanos);
+        Entry known = crashes.get(reported.crash().upstream());
+        long crashNanos = nowNanos - reported.age().toNanos();
+        if (known == null) {
+            if (reported.age().compareTo(RETENTION) >= 0 || !hasRoom()) {
+                return;
+            }
+            Crash crash = clearServed(reported.crash(), crashNanos);
+            put(new Entry(crash, crashNanos, nowNanos));
+            return;
+        }
+        Crash merged = clearServed(known.crash().merge(reported.crash()), known.crashNanos());
+        if (!merged.equals(known.crash())) {
+            put(new Entry(merged, known.crashNanos(), nowNanos));
+        }
+    }
+
+    /**
+     * Records that a request brought an event or a complete response, so that its parts crash no engine.
+     *
+     * @param parts the parts of its prompt
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void recordServed(Collection<PromptPart> parts, long nowNanos) {
+        for (PromptPart part : parts) {
+            servedNanos.put(part, nowNanos);
+            clear(part, nowNanos);
+        }
+    }
+
+    /**
+     * Returns whether a request must not be sent to an engine.
+     *
+     * @param parts the parts of its prompt
+     * @param nowNanos the time, in nanoseconds
+     * @return whether it contains all parts of a cause of crashes and is not to be tried by this node
+     */
+    public boolean isQuarantined(Collection<PromptPart> parts, long nowNanos) {
+        if (crashes.isEmpty() || parts.isEmpty()) {
+            return false;
+        }
+        boolean quarantined = false;
+        for (Cause cause : causes(nowNanos)) {
+            quarantined |= parts.containsAll(cause.parts()) && !startTrial(cause, nowNanos);
+        }
+        return quarantined;
+    }
+
+    /**
+     * Returns the parts that are in quarantine.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return the sets of parts that no request may contain all of
+     */
+    public List<Set<PromptPart>> quarantined(long nowNanos) {
+        return causes(nowNanos).stream().map(Cause::parts).toList();
+    }
+
+    /**
+     * Returns the crashes of which this node has learnt something new.
+     *
+     * @param since how long ago at most
+     * @param nowNanos the time, in nanoseconds
+     * @return the crashes, those known for longest first
+     */
+    public List<AgedCrash> changedWithin(Duration since, long nowNanos) {
+        removeExpired(nowNanos);
+        List<AgedCrash> changed = new ArrayList<>();
+        for (Entry entry : crashes.values()) {
+            if (nowNanos - entry.changedNanos() <= since.toNanos()) {
+                changed.add(new AgedCrash(entry.crash(), Duration.ofNanos(nowNanos - entry.crashNanos())));
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Returns whether no crash is known.
+     *
+     * @return whether nothing can be in quarantine
+     */
+    public boolean isEmpty() {
+        return crashes.isEmpty();
+    }
+
+    /**
+     * Returns all crashes.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return the crashes, those known for longest first
+     */
+    public List<AgedCrash> all(long nowNanos) {
+        return changedWithin(RETENTION, nowNanos);
+    }
+
+    private void clear(PromptPart part, long nowNanos) {
+        for (Entry entry : List.copyOf(crashes.values())) {
+            boolean suspect = entry.crash().suspects().contains(part)
+                    && !entry.crash().cleared().contains(part);
+            if (suspect) {
+                put(new Entry(entry.crash().clear(part), entry.crashNanos(), nowNanos));
+            }
+        }
+    }
+
+    private Crash clearServed(Crash crash, long crashNanos) {
+        Crash cleared = crash;
+        for (PromptPart part : crash.remaining()) {
+            Long served = servedNanos.get(part);
+            if (served != null && served - crashNanos > 0) {
+                cleared = cleared.clear(part);
+            }
+        }
+        return cleared;
+    }
+
+    private void put(Entry entry) {
+        crashes.put(entry.crash().upstream(), entry);
+        nextChangeNanos = Optional.of(entry.changedNanos());
+    }
+
+    /** Makes room by dropping the oldest crash that no cause explains; those that it explains keep it in force. */
+    private boolean hasRoom() {
+        if (crashes.size() < MAXIMUM_CRASHES) {
+            return true;
+        }
+        Optional<Long> unexplained = crashes.values().stream()
+                .filter(entry -> causes.stream()
+                        .noneMatch(cause -> entry.crash().remaining().containsAll(cause.parts())))
+                .map(entry -> entry.crash().upstream())
+                .findFirst();
+        unexplained.ifPresent(crashes::remove);
+        return unexplained.isPresent();
+    }
+
+    private void removeExpired(long nowNanos) {
+        boolean removed = crashes.values().removeIf(entry -> nowNanos - entry.crashNanos() >= RETENTION.toNanos());
+        if (removed) {
+            nextChangeNanos = Optional.of(nowNanos);
+        }
+    }
+
+    private List<Cause> causes(long nowNanos) {
+        if (nextChangeNanos.isPresent() && nowNanos - nextChangeNanos.get() >= 0) {
+            List<Crash> settled = new ArrayList<>();
+            nextChangeNanos = Optional.empty();
+            for (Entry entry : crashes.values()) {
+                long settledNanos = entry.crashNanos() + SETTLE_TIME.toNanos();
+                if (nowNanos - settledNanos >= 0) {
+                    settled.add(entry.crash());
+                } else {
+                    nextChangeNanos = Optional.of(nextChangeNanos
+                            .map(known -> known - settledNanos < 0 ? known : settledNanos)
+                            .orElse(settledNanos));
+                }
+            }
+            causes = CrashAttribution.causes(settled);
+        }
+        return causes;
+    }
+
+    /** One node at a time tries one request with parts that are not certain to crash engines, a few times at most. */
+    private boolean startTrial(Cause cause, long nowNanos) {
+        if (cause.isCertain() || !cause.parts().stream().allMatch(triedHere)) {
+            return false;
+        }
+        Trials before = trials.get(cause.parts());
+        if (before == null) {
+            trials.put(cause.parts(), new Trials(0, nowNanos));
+            return false;
+        }
+        if (before.count() >= MAXIMUM_TRIALS || nowNanos - before.startedNanos() < TRIAL_INTERVAL.toNanos()) {
+            return false;
+        }
+        trials.put(cause.parts(), new Trials(before.count() + 1, nowNanos));
+        return true;
+    }
+
+    private static <K, V> Map<K, V> boundedMap(int maximum) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > maximum;
+            }
+        };
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/PromptPart.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/PromptPart.java
@@ -2,7 +2,9 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.Objects;
+import java.util.stream.Collectors;
 
 /**
  * A part of a prompt that several requests may share. Of a fixed size, however long its name is.
@@ -36,6 +38,16 @@
                 Hashing.murmur3_128().hashString(name, StandardCharsets.UTF_8).asLong());
     }
 
+    /**
+     * Returns the ids of parts as text for logs.
+     *
+     * @param parts the parts
+     * @return the ids, separated by commas
+     */
+    public static String join(Collection<PromptPart> parts) {
+        return parts.stream().map(PromptPart::toString).collect(Collectors.joining(","));
+    }
+
     /** Returns the id as a hexadecimal number. */
     @Override
     public String toString() {
--- /dev/null
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -0,0 +1,291 @@
+package org.galenahinge.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.galenahinge.concurrent.ManualTimers;
+import org.galenahinge.log.EventLog;
+import org.galenahinge.quarantine.Crash;
+import org.galenahinge.quarantine.CrashLedger;
+import org.galenahinge.quarantine.CrashLedger.AgedCrash;
+import org.galenahinge.quarantine.PromptPart;
+import org.galenahinge.wire.WireAddress;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Entries that learn from each other which part of a prompt crashes engines, in a model of a fleet under load. */
+class CrashGossipTest {
+    private static final Duration STEP = Duration.ofMillis(10);
+    private static final Duration NETWORK_DELAY = Duration.ofMillis(2);
+    private static final Duration RESTART_TIME = Duration.ofSeconds(3);
+    private static final Duration STABLE_WINDOW = Duration.ofSeconds(3);
+    private static final PromptPart CRASHING = new PromptPart(0xBAD);
+    private static final int COMMON_PARTS = 180;
+    private static final int MAXIMUM_REQUESTS_ONCE_KNOWN = 3;
+    private static final double DATAGRAM_LOSS = 0.03;
+
+    private final ManualTimers timers = new ManualTimers();
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final Map<WireAddress, Entry> byAddress = new HashMap<>();
+    private final List<NodeAddress> addresses = new ArrayList<>();
+    private Random random = new Random(1);
+    private double engineEndsPerSecond;
+    private long requests;
+    private int crashes;
+    private long fifthCrashNanos;
+    private int reachedOnceKnown;
+    private int sound;
+    private int soundRejected;
+    private int soundOnceSettled;
+    private int soundRejectedOnceSettled;
+
+    /**
+     * Guards against prompts that crash engine after engine: whoever sees a few of the crashes only must learn of the
+     * others. Entries start, restart and are cut off meanwhile; datagrams are lost.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // entries, engines, requests per second, of which crash engines, engines that end for other reasons per second
+        "7, 10, 120, 2.5, 0, 1",
+        "8, 10, 80, 2.5, 0, 2",
+        "8, 10, 80, 0.4, 0.2, 3",
+        "20, 13, 150, 4, 0.1, 4",
+        "49, 97, 600, 6, 0.5, 5",
+        "49, 97, 600, 1, 1, 6",
+        "150, 300, 600, 8, 0, 7",
+    })
+    void findsThePartThatCrashesEngines(
+            int entryCount,
+            int engineCount,
+            double perSecond,
+            double crashingPerSecond,
+            double endsPerSecond,
+            long seed) {
+        start(entryCount, engineCount, seed);
+        engineEndsPerSecond = endsPerSecond;
+        for (int second = 0; second < 40; second++) {
+            disturb(second);
+            run(Duration.ofSeconds(1), perSecond, crashingPerSecond);
+        }
+        assertThat(crashes).isGreaterThanOrEqualTo(3);
+        assertThat(reachedOnceKnown).isLessThanOrEqualTo(MAXIMUM_REQUESTS_ONCE_KNOWN);
+        assertThat((double) soundRejectedOnceSettled / Math.max(1, soundOnceSettled))
+                .isLessThan(0.01);
+    }
+
+    /** Engines that end for other reasons, many at once, put no part into quarantine for long. */
+    @ParameterizedTest
+    @CsvSource({"8, 10, 80, 1", "20, 28, 200, 2", "49, 97, 600, 3", "49, 97, 600, 4"})
+    void rejectsNothingWhenEnginesEndForOtherReasons(int entryCount, int engineCount, double perSecond, long seed) {
+        start(entryCount, engineCount, seed);
+        run(Duration.ofSeconds(5), perSecond, 0);
+        for (int failure = 0; failure < 4; failure++) {
+            engines.subList(0, Math.max(2, engineCount / 4)).forEach(engine -> engine.end(0));
+            run(Duration.ofSeconds(8), perSecond, 0);
+        }
+        assertThat((double) soundRejected / sound).isLessThan(0.001);
+    }
+
+    private void disturb(int second) {
+        if (second % 5 == 2) {
+            entries.get(0).restart();
+        }
+        if (second % 8 == 3) {
+            entries.get(1).cutUntilNanos =
+                    timers.nanoTime() + Duration.ofSeconds(4).toNanos();
+        }
+    }
+
+    private void start(int entryCount, int engineCount, long seed) {
+        random = new Random(seed);
+        for (int number = 0; number < entryCount; number++) {
+            addresses.add(
+                    new NodeAddress("entry-" + number, "zone", "10.0." + number / 250 + "." + number % 250, 1, 2, 3));
+        }
+        for (int number = 0; number < entryCount; number++) {
+            Entry entry = new Entry(addresses.get(number));
+            entries.add(entry);
+            byAddress.put(entry.address.crashes(), entry);
+        }
+        entries.forEach(Entry::restart);
+        for (int number = 0; number < engineCount; number++) {
+            engines.add(new Engine(number));
+        }
+    }
+
+    private void run(Duration time, double perSecond, double crashingPerSecond) {
+        double seconds = STEP.toMillis() / 1_000.0;
+        for (long step = 0; step < time.dividedBy(STEP); step++) {
+            timers.advance(STEP);
+            for (double due = perSecond * seconds; random.nextDouble() < due; due--) {
+                anyEntry().request(new HashSet<>(Set.of(commonPart())), 2);
+            }
+            if (random.nextDouble() < crashingPerSecond * seconds) {
+                anyEntry().request(new HashSet<>(Set.of(commonPart(), CRASHING)), 2);
+            }
+            if (random.nextDouble() < engineEndsPerSecond * seconds) {
+                engines.get(random.nextInt(engines.size())).end(0);
+            }
+        }
+    }
+
+    private Entry anyEntry() {
+        return entries.get(random.nextInt(entries.size()));
+    }
+
+    /** A few parts are common, most are rare. */
+    private PromptPart commonPart() {
+        double fraction = random.nextDouble();
+        return new PromptPart((long) (fraction * fraction * COMMON_PARTS) + 1);
+    }
+
+    private boolean isKnown() {
+        return crashes >= 5 && timers.nanoTime() - fifthCrashNanos > STABLE_WINDOW.toNanos();
+    }
+
+    private record Running(long number, Entry entry, Set<PromptPart> parts, int attemptsLeft) {}
+
+    private final class Engine {
+        private final int number;
+        private final Set<Running> withoutEvent = new HashSet<>();
+        private int incarnation;
+        private boolean up = true;
+
+        Engine(int number) {
+            this.number = number;
+        }
+
+        void run(Running running) {
+            int startedIn = incarnation;
+            withoutEvent.add(running);
+            timers.schedule(Duration.ofMillis(80 + random.nextInt(400)), () -> {
+                if (startedIn != incarnation || !withoutEvent.contains(running)) {
+                    return;
+                }
+                if (running.parts().contains(CRASHING)) {
+                    end(1);
+                    return;
+                }
+                withoutEvent.remove(running);
+                running.entry().ledger.recordServed(running.parts(), timers.nanoTime());
+            });
+        }
+
+        void end(int counted) {
+            if (!up) {
+                return;
+            }
+            crashes += counted;
+            if (crashes == 5 && counted > 0) {
+                fifthCrashNanos = timers.nanoTime();
+            }
+            up = false;
+            Map<Entry, Set<PromptPart>> suspects = new HashMap<>();
+            List<Running> lost = List.copyOf(withoutEvent);
+            withoutEvent.clear();
+            lost.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
+                    .addAll(running.parts()));
+            long id = number * 1_000L + incarnation;
+            incarnation++;
+            suspects.forEach((entry, parts) ->
+                    entry.ledger.add(new AgedCrash(new Crash(id, parts, Set.of()), Duration.ZERO), timers.nanoTime()));
+            lost.forEach(running -> running.entry().request(running.parts(), running.attemptsLeft() - 1));
+            timers.schedule(RESTART_TIME, () -> up = true);
+        }
+    }
+
+    private final class Entry {
+        private final NodeAddress address;
+        private final EntryRoster roster = new EntryRoster("zone", 1);
+        private CrashLedger ledger;
+        private CrashGossip gossip;
+        private long cutUntilNanos = Long.MIN_VALUE / 2;
+        private long startedNanos;
+        private int incarnation;
+
+        Entry(NodeAddress address) {
+            this.address = address;
+            roster.update(addresses);
+        }
+
+        void restart() {
+            incarnation++;
+            startedNanos = timers.nanoTime();
+            ledger = CrashLedger.create(part ->
+                    roster.assigneeOf("trial/" + part).filter(address::equals).isPresent());
+            int sentIn = incarnation;
+            gossip = new CrashGossip(
+                    address,
+                    roster,
+                    ledger,
+                    (to, bytes) -> {
+                        if (sentIn == incarnation) {
+                            send(to, bytes);
+                        }
+                    },
+                    timers,
+                    EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
+                    random.nextLong());
+            gossip.start();
+        }
+
+        boolean isCut() {
+            return timers.nanoTime() - cutUntilNanos < 0;
+        }
+
+        /** Machines that were started or cut off less than a stable window ago are excused from the rule. */
+        private boolean isInTouch() {
+            return timers.nanoTime() - startedNanos > STABLE_WINDOW.toNanos()
+                    && timers.nanoTime() - cutUntilNanos > STABLE_WINDOW.toNanos();
+        }
+
+        private void send(WireAddress to, byte[] bytes) {
+            Entry receiver = byAddress.get(to);
+            if (isCut() || receiver.isCut() || random.nextDouble() < DATAGRAM_LOSS) {
+                return;
+            }
+            timers.schedule(
+                    NETWORK_DELAY,
+                    () -> receiver.gossip.receive(
+                            CrashCodec.decode(ByteBuffer.wrap(bytes)).orElseThrow()));
+        }
+
+        void request(Set<PromptPart> parts, int attemptsLeft) {
+            if (attemptsLeft == 0 || isCut()) {
+                return;
+            }
+            boolean crashing = parts.contains(CRASHING);
+            boolean rejected = ledger.isQuarantined(parts, timers.nanoTime());
+            if (!crashing) {
+                count(rejected);
+            }
+            List<Engine> running = engines.stream().filter(engine -> engine.up).toList();
+            if (rejected || running.isEmpty()) {
+                return;
+            }
+            if (crashing && isKnown() && isInTouch()) {
+                reachedOnceKnown++;
+            }
+            running.get(random.nextInt(running.size())).run(new Running(requests++, this, parts, attemptsLeft));
+        }
+
+        private void count(boolean rejected) {
+            sound++;
+            soundRejected += rejected ? 1 : 0;
+            boolean settled = crashes >= 5 && timers.nanoTime() - fifthCrashNanos > 2 * STABLE_WINDOW.toNanos();
+            soundOnceSettled += settled ? 1 : 0;
+            soundRejectedOnceSettled += settled && rejected ? 1 : 0;
+        }
+    }
+}
