--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.galenahinge.concurrent.Timers.Timer;
 import org.galenahinge.engine.EventSplitter;
@@ -47,6 +48,7 @@
     private HttpHeaders headers = new DefaultHttpHeaders();
     private int status;
     private boolean notRun;
+    private OptionalDouble requestLimit = OptionalDouble.empty();
     private boolean streaming;
     private boolean forwardingBody;
     private boolean done;
@@ -113,6 +115,7 @@
     public void onHead(HttpResponse response) {
         UpstreamResponse metadata = request.gateway().translator().readResponse(response);
         status = response.status().code();
+        requestLimit = metadata.requestLimit();
         notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
         recordFirstByte();
         String expectedId = request.callerRequest().requestId();
@@ -193,6 +196,11 @@
         return sent;
     }
 
+    /** Returns the limit that the upstream named in its response, in requests a second. */
+    OptionalDouble requestLimit() {
+        return requestLimit;
+    }
+
     /** Returns how many events of its stream were passed on. */
     int events() {
         return events;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.galenahinge.catalog.Organisation;
@@ -194,6 +195,7 @@
                 .with("took_ms", millisSince(request.arrivedNanos()))
                 .with("events", done.events())
                 .with("parts", PromptPart.join(request.metadata().sharedParts()))
+                .with("limit", limitText(done.requestLimit()))
                 .write();
     }
 
@@ -465,6 +467,10 @@
         }
     }
 
+    private static String limitText(OptionalDouble limit) {
+        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "";
+    }
+
     private long millisSince(long nanos) {
         return Duration.ofNanos(gateway.timers().nanoTime() - nanos).toMillis();
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamResponse.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamResponse.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The metadata in the headers of an upstream's response.
@@ -9,9 +10,12 @@
  * @param requestId the id of the request that it responds to, if given
  * @param notRun whether the upstream states that it did not run the request
  * @param signed whether it has the upstream's signature
+ * @param requestLimit how many requests a second the upstream accepts from all nodes together, if it names a limit
  */
-public record UpstreamResponse(Optional<String> requestId, boolean notRun, boolean signed) {
+public record UpstreamResponse(
+        Optional<String> requestId, boolean notRun, boolean signed, OptionalDouble requestLimit) {
     public UpstreamResponse {
         Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(requestLimit, "requestLimit");
     }
 }
