--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
@@ -39,6 +39,8 @@
     private volatile Fault fault = Fault.NONE;
     private volatile Optional<String> crashingPart = Optional.empty();
     private volatile boolean crashed;
+    private volatile Optional<Double> requestLimit = Optional.empty();
+    private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
 
     /** The faults that an upstream can simulate. */
     public enum Fault {
@@ -118,6 +120,25 @@
         crashingPart = Optional.of(part);
     }
 
+    /**
+     * Makes it name, in each response from now on, how many requests a second it accepts. It runs those above it all the
+     * same.
+     *
+     * @param perSecond the limit in requests a second, empty to name none
+     */
+    public void nameLimit(Optional<Double> perSecond) {
+        requestLimit = perSecond;
+    }
+
+    /**
+     * Returns when it received each request.
+     *
+     * @return the times, in nanoseconds of {@link System#nanoTime()}
+     */
+    public List<Long> arrivalNanos() {
+        return List.copyOf(arrivalNanos);
+    }
+
     /**
      * Returns whether it has crashed.
      *
@@ -215,7 +236,9 @@
     }
 
     private void serve(HttpExchange exchange) throws IOException {
+        arrivalNanos.add(System.nanoTime());
         recordHeaders(exchange);
+        requestLimit.ifPresent(limit -> exchange.getResponseHeaders().set("Server-Limit", Double.toString(limit)));
         exchange.getRequestBody().readAllBytes();
         String requestId = exchange.getRequestHeaders().getFirst("Attempt-Id");
         if (fault == Fault.SHED) {
