--- a/galenahinge/src/main/java/org/galenahinge/node/CrashGossip.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/CrashGossip.java
@@ -1,143 +1,78 @@
 package org.galenahinge.node;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
-import java.util.Random;
 import java.util.Set;
-import java.util.function.BiConsumer;
-import org.galenahinge.concurrent.Timers;
+import java.util.stream.Collectors;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
+import org.galenahinge.quarantine.Crash;
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
 import org.galenahinge.quarantine.PromptPart;
-import org.galenahinge.wire.WireAddress;
+import org.galenahinge.wire.generated.CrashRecord;
+import org.galenahinge.wire.generated.GossipRecord;
 
-/**
- * Spreads the crashes of engines among the entries, so that all of them decide by the same ones. News is sent to a few random
- * entries, which send it on in turn; an entry that has just joined, or that stood still, asks a few others for all crashes.
- * Sends nothing while no crash is known, and its cost does not grow with the number of entries. Not thread-safe.
- */
-final class CrashGossip {
-    private static final Duration INTERVAL = Duration.ofMillis(200);
-
-    /** The interval while no crash is known. */
-    private static final Duration IDLE_INTERVAL = Duration.ofMillis(400);
-
-    /** How long a node passes on what it has learnt: long enough to reach all entries of a large fleet. */
-    private static final Duration NEWS_TIME = Duration.ofMillis(1_500);
-
-    /** One datagram to one entry at this interval replaces those that were lost. */
-    private static final Duration REPAIR_INTERVAL = Duration.ofSeconds(1);
-
-    private static final Duration CATCH_UP_TIME = Duration.ofMillis(2_500);
-    private static final Duration STALL_TIME = Duration.ofSeconds(1);
-    private static final int FANOUT = 3;
-
-    private final NodeAddress self;
-    private final EntryRoster roster;
+/** Exchanges the crashes of engines among the entries, so that all of them decide by the same ones. Not thread-safe. */
+final class CrashGossip implements GossipSource {
     private final CrashLedger ledger;
-    private final BiConsumer<WireAddress, byte[]> sender;
-    private final Timers timers;
     private final EventLog log;
-    private final Random random;
     private List<Set<PromptPart>> quarantined = List.of();
-    private long lastTickNanos;
-    private long catchUpUntilNanos;
-    private long nextRepairNanos;
-    private int nextRepaired;
 
-    CrashGossip(
-            NodeAddress self,
-            EntryRoster roster,
-            CrashLedger ledger,
-            BiConsumer<WireAddress, byte[]> sender,
-            Timers timers,
-            EventLog log,
-            long seed) {
-        this.self = Objects.requireNonNull(self, "self");
-        this.roster = Objects.requireNonNull(roster, "roster");
+    CrashGossip(CrashLedger ledger, EventLog log) {
         this.ledger = Objects.requireNonNull(ledger, "ledger");
-        this.sender = Objects.requireNonNull(sender, "sender");
-        this.timers = Objects.requireNonNull(timers, "timers");
         this.log = Objects.requireNonNull(log, "log");
-        this.random = new Random(seed);
-    }
-
-    /** Starts spreading, and asks other entries for the crashes that they know. */
-    void start() {
-        lastTickNanos = timers.nanoTime();
-        catchUpUntilNanos = lastTickNanos + CATCH_UP_TIME.toNanos();
-        tick();
     }
 
-    /** Handles a datagram of another entry. */
-    void receive(CrashCodec.Received received) {
-        long now = timers.nanoTime();
-        received.crashes().forEach(crash -> ledger.add(crash, now));
-        logQuarantine(now);
-        if (received.requestsAll()) {
-            send(List.of(received.sender()), ledger.all(now));
+    @Override
+    public List<GossipRecord> changedWithin(Duration since, long nowNanos) {
+        if (ledger.isEmpty()) {
+            return List.of();
         }
+        logQuarantine(nowNanos);
+        return ledger.changedWithin(since, nowNanos).stream()
+                .map(CrashGossip::encode)
+                .toList();
     }
 
-    private void tick() {
-        long now = timers.nanoTime();
-        if (now - lastTickNanos >= STALL_TIME.toNanos()) {
-            catchUpUntilNanos = now + CATCH_UP_TIME.toNanos();
-        }
-        lastTickNanos = now;
-        List<WireAddress> receivers = randomEntries();
-        if (now - catchUpUntilNanos < 0) {
-            byte[] request = CrashCodec.encodeRequest(self.crashes());
-            receivers.forEach(entry -> sender.accept(entry, request));
-        }
-        if (!ledger.isEmpty()) {
-            send(receivers, ledger.changedWithin(NEWS_TIME, now));
-            repair(receivers, now);
-            logQuarantine(now);
-        }
-        timers.schedule(ledger.isEmpty() ? IDLE_INTERVAL : INTERVAL, this::tick);
+    @Override
+    public List<GossipRecord> all(long nowNanos) {
+        return ledger.all(nowNanos).stream().map(CrashGossip::encode).toList();
     }
 
-    private void repair(List<WireAddress> receivers, long now) {
-        List<AgedCrash> all = ledger.all(now);
-        if (all.isEmpty() || receivers.isEmpty() || now - nextRepairNanos < 0) {
+    @Override
+    public void receive(GossipRecord gossiped, long nowNanos) {
+        if (!gossiped.hasCrash() || gossiped.getCrash().getAgeMillis() < 0) {
             return;
         }
-        nextRepairNanos = now + REPAIR_INTERVAL.toNanos();
-        Collections.rotate(all, -(nextRepaired % all.size()));
-        List<byte[]> datagrams = CrashCodec.encode(self.crashes(), all);
-        sender.accept(receivers.get(0), datagrams.get(0));
-        nextRepaired += Math.max(1, all.size() / datagrams.size());
+        CrashRecord encoded = gossiped.getCrash();
+        Crash crash =
+                new Crash(encoded.getUpstream(), parts(encoded.getSuspectsList()), parts(encoded.getClearedList()));
+        ledger.add(new AgedCrash(crash, Duration.ofMillis(encoded.getAgeMillis())), nowNanos);
     }
 
-    private void send(List<WireAddress> receivers, List<AgedCrash> crashes) {
-        List<byte[]> datagrams = CrashCodec.encode(self.crashes(), crashes);
-        for (WireAddress receiver : receivers) {
-            datagrams.forEach(datagram -> sender.accept(receiver, datagram));
-        }
+    private static GossipRecord encode(AgedCrash aged) {
+        CrashRecord crash = CrashRecord.newBuilder()
+                .setUpstream(aged.crash().upstream())
+                .setAgeMillis(aged.age().toMillis())
+                .addAllSuspects(ids(aged.crash().suspects()))
+                .addAllCleared(ids(aged.crash().cleared()))
+                .build();
+        return GossipRecord.newBuilder().setCrash(crash).build();
     }
 
-    private List<WireAddress> randomEntries() {
-        List<NodeAddress> up = roster.up();
-        List<WireAddress> chosen = new ArrayList<>(FANOUT);
-        int first = up.isEmpty() ? 0 : random.nextInt(up.size());
-        int step = up.size() < 2 ? 1 : 1 + random.nextInt(up.size() - 1);
-        for (int number = 0; number < up.size() && chosen.size() < FANOUT; number++) {
-            NodeAddress entry = up.get((first + number * step) % up.size());
-            if (!entry.equals(self) && !chosen.contains(entry.crashes())) {
-                chosen.add(entry.crashes());
-            }
-        }
-        return chosen;
+    private static List<Long> ids(Set<PromptPart> parts) {
+        return parts.stream().map(PromptPart::id).toList();
+    }
+
+    private static Set<PromptPart> parts(Collection<Long> ids) {
+        return ids.stream().map(PromptPart::new).collect(Collectors.toSet());
     }
 
-    private void logQuarantine(long now) {
-        List<Set<PromptPart>> current = ledger.quarantined(now);
+    private void logQuarantine(long nowNanos) {
+        List<Set<PromptPart>> current = ledger.quarantined(nowNanos);
         if (current.equals(quarantined)) {
             return;
         }
@@ -147,7 +82,7 @@
                 .with(
                         "parts",
                         PromptPart.join(current.stream().flatMap(Set::stream).toList()))
-                .with("crashes", ledger.all(now).size())
+                .with("crashes", ledger.all(nowNanos).size())
                 .write();
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -57,9 +57,8 @@
     private final FactRelay relay;
     private final WeightsServer weightsServer;
     private final Gateway gateway;
-    private final CrashLedger crashLedger;
-    private final CrashGossip crashGossip;
-    private DatagramNetwork crashDatagrams;
+    private final EntryGossip gossip;
+    private DatagramNetwork gossipDatagrams;
     private CallerServer callerServer;
     private long stopNanos;
     private boolean stopping;
@@ -88,10 +87,15 @@
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
         GatewaySettings gatewaySettings = new GatewaySettings(
                 settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout());
-        this.crashLedger = CrashLedger.create(
+        CrashLedger crashLedger = CrashLedger.create(
                 part -> roster.assigneeOf("trial/" + part).filter(self::equals).isPresent());
-        this.crashGossip = new CrashGossip(
-                self, roster, crashLedger, (to, bytes) -> crashDatagrams.send(to, bytes), timers, log, seed);
+        this.gossip = new EntryGossip(
+                self,
+                roster,
+                List.of(new CrashGossip(crashLedger, log)),
+                (to, bytes) -> gossipDatagrams.send(to, bytes),
+                timers,
+                seed);
         this.gateway = Gateway.create(
                 gatewaySettings,
                 loop,
@@ -213,8 +217,7 @@
                 CallerServer.listen(gateway, threads, settings.callerAddress().orElseThrow());
         HttpServer.serve(threads, settings.peerAddress().orElseThrow(), this::handleNodeRequest);
         membership.listen(threads, new WireAddress(settings.address(), settings.membershipPort()), metrics);
-        crashDatagrams =
-                DatagramNetwork.listen(threads, self.crashes(), metrics, CrashCodec::decode, crashGossip::receive);
+        gossipDatagrams = DatagramNetwork.listen(threads, self.gossip(), metrics, GossipCodec::decode, gossip::receive);
         DatagramNetwork.listen(
                 threads,
                 new WireAddress(settings.address(), settings.loadPort()),
@@ -247,7 +250,7 @@
             return;
         }
         membership.join();
-        crashGossip.start();
+        gossip.start();
         ready = true;
         log.event(Category.LIFECYCLE, "ready")
                 .with("config", facts.catalog().get().version())
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeAddress.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeAddress.java
@@ -82,8 +82,7 @@
         return new WireAddress(address, membershipPort);
     }
 
-    /** Returns where the entry listens for crashes of engines. */
-    WireAddress crashes() {
-        return new WireAddress(address, NodeSettings.crashPort(membershipPort));
+    WireAddress gossip() {
+        return new WireAddress(address, NodeSettings.gossipPort(membershipPort));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
@@ -102,8 +102,8 @@
         return firstInternalPort + 2;
     }
 
-    /** Returns the UDP port of an entry for crashes of engines, given its first port. */
-    static int crashPort(int firstInternalPort) {
+    /** Returns the UDP port of an entry for what the entries tell each other of upstreams, given its first port. */
+    static int gossipPort(int firstInternalPort) {
         return firstInternalPort + 3;
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -25,6 +25,7 @@
 
 /** Entries that learn from each other which part of a prompt crashes engines, in a model of a fleet under load. */
 class CrashGossipTest {
+    private static final EventLog LOG = EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry());
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration NETWORK_DELAY = Duration.ofMillis(2);
     private static final Duration RESTART_TIME = Duration.ofSeconds(3);
@@ -116,7 +117,7 @@
         for (int number = 0; number < entryCount; number++) {
             Entry entry = new Entry(addresses.get(number));
             entries.add(entry);
-            byAddress.put(entry.address.crashes(), entry);
+            byAddress.put(entry.address.gossip(), entry);
         }
         entries.forEach(Entry::restart);
         for (int number = 0; number < engineCount; number++) {
@@ -209,7 +210,7 @@
         private final NodeAddress address;
         private final EntryRoster roster = new EntryRoster("zone", 1);
         private CrashLedger ledger;
-        private CrashGossip gossip;
+        private EntryGossip gossip;
         private long cutUntilNanos = Long.MIN_VALUE / 2;
         private long startedNanos;
         private int incarnation;
@@ -225,17 +226,17 @@
             ledger = CrashLedger.create(part ->
                     roster.assigneeOf("trial/" + part).filter(address::equals).isPresent());
             int sentIn = incarnation;
-            gossip = new CrashGossip(
+            CrashGossip source = new CrashGossip(ledger, LOG);
+            gossip = new EntryGossip(
                     address,
                     roster,
-                    ledger,
+                    List.of(source),
                     (to, bytes) -> {
                         if (sentIn == incarnation) {
                             send(to, bytes);
                         }
                     },
                     timers,
-                    EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
                     random.nextLong());
             gossip.start();
         }
@@ -258,7 +259,7 @@
             timers.schedule(
                     NETWORK_DELAY,
                     () -> receiver.gossip.receive(
-                            CrashCodec.decode(ByteBuffer.wrap(bytes)).orElseThrow()));
+                            GossipCodec.decode(ByteBuffer.wrap(bytes)).orElseThrow()));
         }
 
         void request(Set<PromptPart> parts, int attemptsLeft) {
