--- a/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
@@ -15,7 +15,6 @@
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
 import org.galenahinge.quarantine.PromptPart;
-import org.galenahinge.routing.Rendezvous;
 import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.UpstreamPool;
 
@@ -96,12 +95,11 @@
 
     private void record(Watch watch) {
         long now = timers.nanoTime();
-        long incarnation = Rendezvous.key(watch.upstream.id() + ";" + watch.upstream.bornMillis());
         Duration age = Duration.ofNanos(now - watch.startedNanos);
         log.event(Category.BELIEF, "engine_crashed")
                 .with("upstream", watch.upstream.id())
                 .with("parts", PromptPart.join(watch.parts))
                 .write();
-        ledger.add(new AgedCrash(new Crash(incarnation, watch.parts, Set.of()), age), now);
+        ledger.add(new AgedCrash(new Crash(watch.upstream.incarnationKey(), watch.parts, Set.of()), age), now);
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/upstream/Upstream.java
+++ b/galenahinge/src/main/java/org/galenahinge/upstream/Upstream.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.galenahinge.routing.Rendezvous;
 import org.galenahinge.wire.WireAddress;
 
 /**
@@ -39,6 +40,15 @@
         }
     }
 
+    /**
+     * Returns a number that identifies this incarnation on all nodes.
+     *
+     * @return a hash of id and start time
+     */
+    public long incarnationKey() {
+        return Rendezvous.key(id + ";" + bornMillis);
+    }
+
     /**
      * Returns whether both records describe the same incarnation of the same upstream, so that its connections and counts
      * remain valid.
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -4,7 +4,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,7 +18,6 @@
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
 import org.galenahinge.quarantine.PromptPart;
-import org.galenahinge.wire.WireAddress;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -27,19 +25,14 @@
 class CrashGossipTest {
     private static final EventLog LOG = EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry());
     private static final Duration STEP = Duration.ofMillis(10);
-    private static final Duration NETWORK_DELAY = Duration.ofMillis(2);
     private static final Duration RESTART_TIME = Duration.ofSeconds(3);
-    private static final Duration STABLE_WINDOW = Duration.ofSeconds(3);
     private static final PromptPart CRASHING = new PromptPart(0xBAD);
     private static final int COMMON_PARTS = 180;
     private static final int MAXIMUM_REQUESTS_ONCE_KNOWN = 3;
-    private static final double DATAGRAM_LOSS = 0.03;
 
     private final ManualTimers timers = new ManualTimers();
     private final List<Entry> entries = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
-    private final Map<WireAddress, Entry> byAddress = new HashMap<>();
-    private final List<NodeAddress> addresses = new ArrayList<>();
     private Random random = new Random(1);
     private double engineEndsPerSecond;
     private long requests;
@@ -103,23 +96,14 @@
             entries.get(0).restart();
         }
         if (second % 8 == 3) {
-            entries.get(1).cutUntilNanos =
-                    timers.nanoTime() + Duration.ofSeconds(4).toNanos();
+            entries.get(1).member.cutFor(Duration.ofSeconds(4));
         }
     }
 
     private void start(int entryCount, int engineCount, long seed) {
         random = new Random(seed);
-        for (int number = 0; number < entryCount; number++) {
-            addresses.add(
-                    new NodeAddress("entry-" + number, "zone", "10.0." + number / 250 + "." + number % 250, 1, 2, 3));
-        }
-        for (int number = 0; number < entryCount; number++) {
-            Entry entry = new Entry(addresses.get(number));
-            entries.add(entry);
-            byAddress.put(entry.address.gossip(), entry);
-        }
-        entries.forEach(Entry::restart);
+        GossipFleet fleet = new GossipFleet(entryCount, timers, random);
+        fleet.members().forEach(member -> entries.add(new Entry(member)));
         for (int number = 0; number < engineCount; number++) {
             engines.add(new Engine(number));
         }
@@ -152,7 +136,7 @@
     }
 
     private boolean isKnown() {
-        return crashes >= 5 && timers.nanoTime() - fifthCrashNanos > STABLE_WINDOW.toNanos();
+        return crashes >= 5 && timers.nanoTime() - fifthCrashNanos > GossipFleet.STABLE_WINDOW.toNanos();
     }
 
     private record Running(long number, Entry entry, Set<PromptPart> parts, int attemptsLeft) {}
@@ -207,63 +191,24 @@
     }
 
     private final class Entry {
-        private final NodeAddress address;
-        private final EntryRoster roster = new EntryRoster("zone", 1);
+        private final GossipFleet.Member member;
         private CrashLedger ledger;
-        private EntryGossip gossip;
-        private long cutUntilNanos = Long.MIN_VALUE / 2;
-        private long startedNanos;
-        private int incarnation;
 
-        Entry(NodeAddress address) {
-            this.address = address;
-            roster.update(addresses);
+        Entry(GossipFleet.Member member) {
+            this.member = member;
+            restart();
         }
 
         void restart() {
-            incarnation++;
-            startedNanos = timers.nanoTime();
-            ledger = CrashLedger.create(part ->
-                    roster.assigneeOf("trial/" + part).filter(address::equals).isPresent());
-            int sentIn = incarnation;
-            CrashGossip source = new CrashGossip(ledger, LOG);
-            gossip = new EntryGossip(
-                    address,
-                    roster,
-                    List.of(source),
-                    (to, bytes) -> {
-                        if (sentIn == incarnation) {
-                            send(to, bytes);
-                        }
-                    },
-                    timers,
-                    random.nextLong());
-            gossip.start();
-        }
-
-        boolean isCut() {
-            return timers.nanoTime() - cutUntilNanos < 0;
-        }
-
-        /** Machines that were started or cut off less than a stable window ago are excused from the rule. */
-        private boolean isInTouch() {
-            return timers.nanoTime() - startedNanos > STABLE_WINDOW.toNanos()
-                    && timers.nanoTime() - cutUntilNanos > STABLE_WINDOW.toNanos();
-        }
-
-        private void send(WireAddress to, byte[] bytes) {
-            Entry receiver = byAddress.get(to);
-            if (isCut() || receiver.isCut() || random.nextDouble() < DATAGRAM_LOSS) {
-                return;
-            }
-            timers.schedule(
-                    NETWORK_DELAY,
-                    () -> receiver.gossip.receive(
-                            GossipCodec.decode(ByteBuffer.wrap(bytes)).orElseThrow()));
+            ledger = CrashLedger.create(part -> member.roster()
+                    .assigneeOf("trial/" + part)
+                    .filter(member.address()::equals)
+                    .isPresent());
+            member.start(new CrashGossip(ledger, LOG));
         }
 
         void request(Set<PromptPart> parts, int attemptsLeft) {
-            if (attemptsLeft == 0 || isCut()) {
+            if (attemptsLeft == 0 || member.isCut()) {
                 return;
             }
             boolean crashing = parts.contains(CRASHING);
@@ -275,7 +220,7 @@
             if (rejected || running.isEmpty()) {
                 return;
             }
-            if (crashing && isKnown() && isInTouch()) {
+            if (crashing && isKnown() && member.isInTouch()) {
                 reachedOnceKnown++;
             }
             running.get(random.nextInt(running.size())).run(new Running(requests++, this, parts, attemptsLeft));
@@ -284,7 +229,8 @@
         private void count(boolean rejected) {
             sound++;
             soundRejected += rejected ? 1 : 0;
-            boolean settled = crashes >= 5 && timers.nanoTime() - fifthCrashNanos > 2 * STABLE_WINDOW.toNanos();
+            boolean settled =
+                    crashes >= 5 && timers.nanoTime() - fifthCrashNanos > 2 * GossipFleet.STABLE_WINDOW.toNanos();
             soundOnceSettled += settled ? 1 : 0;
             soundRejectedOnceSettled += settled && rejected ? 1 : 0;
         }
