Share the limit that an upstream names among all entries

Cause: nothing read Server-Limit. Class: a limit that holds for the sum over nodes, known to each of them alone; with eight entries, eight obedient ones would still send eight times as much.

Change: NamedLimits holds the limits of incarnations of upstreams. The entries take turns by their positions in the roster, counted from the moment at which the upstream first named the limit; a turn that is not used within 1.5 s lapses, so nothing is saved up: all entries together send at most 5.5 times the limit and one in 4 s, whatever their number. The limit, its revision and the first naming spread by EntryGossip, so that entries that were not told themselves keep to it, too. A response without a limit, 1 s after the last one with it, ends it everywhere. Placement leaves out an upstream without a turn, as it does a full one.

Weighed: one owner per upstream (an owner without requests wastes the limit, and where all upstreams of a service name one, the other entries' callers get nothing); equal shares of a bucket each (49 entries save up 49 requests); grants by slot processes (plain upstreams have none).

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -126,6 +126,7 @@
             abort("the response belongs to another request");
             return;
         }
+        request.gateway().namedLimits().recordResponse(candidate.upstream().incarnationKey(), requestLimit, now());
         if (isSuccess() && !metadata.signed()) {
             abort("the response has no signature");
             return;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -358,6 +358,12 @@
                 .with("waited_ms", waitedMillis)
                 .write();
         queue.rate().recordPlaced(gateway.timers().nanoTime());
+        if (!gateway.namedLimits().isEmpty()) {
+            gateway.namedLimits()
+                    .recordSent(
+                            candidate.upstream().incarnationKey(),
+                            gateway.timers().nanoTime());
+        }
         int prompt = request.metadata().prompt().map(PromptShape::promptTokens).orElse(0);
         candidate.load().recordSent(next, prompt, gateway.timers().nanoTime());
         double idleShare = admitted.route().kind().isIdempotent() ? IDEMPOTENT_IDLE_SHARE : NON_IDEMPOTENT_IDLE_SHARE;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.facts.FleetFacts;
+import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.placement.AdmissionQueue;
 import org.galenahinge.placement.LoadReport;
@@ -29,6 +30,7 @@
 import org.galenahinge.placement.ServiceRetryBudget;
 import org.galenahinge.placement.ServiceUpstreams;
 import org.galenahinge.quarantine.CrashLedger;
+import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.wire.WireAddress;
 
@@ -50,6 +52,7 @@
     private final UpstreamTable upstreams;
     private final CrashLedger crashLedger;
     private final CrashDetector crashDetector;
+    private final NamedLimits namedLimits;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
     private boolean queueScanScheduled;
@@ -65,6 +68,7 @@
             MetricRegistry registry,
             IntSupplier nodes,
             CrashLedger crashLedger,
+            NamedLimits namedLimits,
             long seed) {
         this.settings = settings;
         this.facts = facts;
@@ -73,10 +77,11 @@
         this.log = log;
         this.metrics = new GatewayMetrics(registry);
         this.nodes = nodes;
-        this.placement = Placement.create(settings.failureDomain(), nodes, seed);
+        this.placement = Placement.create(settings.failureDomain(), nodes, this::isWithinLimit, seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
+        this.namedLimits = namedLimits;
         this.crashDetector = new CrashDetector(crashLedger, timers, log);
         registry.gauge("upstream.known", () -> upstreams::size);
     }
@@ -93,6 +98,7 @@
      * @param registry the registry for metrics
      * @param nodes returns the number of nodes that share the retry budgets and the capacity of upstreams
      * @param crashLedger the crashes of engines that this and other nodes have seen
+     * @param namedLimits the limits that upstreams have named to this and other nodes
      * @param seed the seed for random choices
      * @return the gateway
      */
@@ -106,6 +112,7 @@
             MetricRegistry registry,
             IntSupplier nodes,
             CrashLedger crashLedger,
+            NamedLimits namedLimits,
             long seed) {
         return new Gateway(
                 Objects.requireNonNull(settings, "settings"),
@@ -117,6 +124,7 @@
                 Objects.requireNonNull(registry, "registry"),
                 Objects.requireNonNull(nodes, "nodes"),
                 Objects.requireNonNull(crashLedger, "crashLedger"),
+                Objects.requireNonNull(namedLimits, "namedLimits"),
                 seed);
     }
 
@@ -192,6 +200,10 @@
         return crashDetector;
     }
 
+    NamedLimits namedLimits() {
+        return namedLimits;
+    }
+
     double randomFraction() {
         return random.nextDouble();
     }
@@ -233,6 +245,10 @@
                 timers.nanoTime());
     }
 
+    private boolean isWithinLimit(Upstream upstream, long nowNanos) {
+        return namedLimits.isEmpty() || namedLimits.allows(upstream.incarnationKey(), nowNanos);
+    }
+
     private ServiceUpstreams upstreamsOf(String service) {
         Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
         return new ServiceUpstreams(upstreams.candidates(service), engine);
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -24,6 +24,7 @@
 import org.galenahinge.gateway.GatewaySettings;
 import org.galenahinge.http.HttpDocument;
 import org.galenahinge.http.HttpServer;
+import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.quarantine.CrashLedger;
@@ -89,10 +90,11 @@
                 settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout());
         CrashLedger crashLedger = CrashLedger.create(
                 part -> roster.assigneeOf("trial/" + part).filter(self::equals).isPresent());
+        NamedLimits namedLimits = NamedLimits.create(() -> roster.positionOf(self));
         this.gossip = new EntryGossip(
                 self,
                 roster,
-                List.of(new CrashGossip(crashLedger, log)),
+                List.of(new CrashGossip(crashLedger, log), new LimitGossip(namedLimits)),
                 (to, bytes) -> gossipDatagrams.send(to, bytes),
                 timers,
                 seed);
@@ -106,6 +108,7 @@
                 metrics,
                 membership::memberCount,
                 crashLedger,
+                namedLimits,
                 seed);
         EntryWeightsSources weightsSources = new EntryWeightsSources(
                 settings,
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.galenahinge.limit.NamedLimits.Position;
 import org.galenahinge.routing.Rendezvous;
 
 /**
@@ -56,6 +57,12 @@
         return byZone.getOrDefault(failureDomain, List.of());
     }
 
+    /** Returns the position of an entry among those that are up; an entry that is not up comes after them. */
+    Position positionOf(NodeAddress entry) {
+        int index = up.indexOf(entry);
+        return index >= 0 ? new Position(index, up.size()) : new Position(up.size(), up.size() + 1);
+    }
+
     /** Returns the entry that reads the store for all. */
     Optional<NodeAddress> watcher() {
         return watcher;
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.IntSupplier;
 import org.galenahinge.catalog.EngineProfile;
+import org.galenahinge.upstream.Upstream;
 
 /**
  * Chooses the upstream for a request: the one with the earliest predicted response, after adding penalties for another
@@ -33,14 +34,29 @@
 
     private final String zone;
     private final IntSupplier nodes;
+    private final UpstreamLimit limit;
     private final Random random;
 
-    private Placement(String zone, IntSupplier nodes, Random random) {
+    private Placement(String zone, IntSupplier nodes, UpstreamLimit limit, Random random) {
         this.zone = zone;
         this.nodes = nodes;
+        this.limit = limit;
         this.random = random;
     }
 
+    /** The limits that upstreams name for the requests that they accept. */
+    @FunctionalInterface
+    public interface UpstreamLimit {
+        /**
+         * Returns whether an upstream's limit lets this node send it a request now.
+         *
+         * @param upstream the upstream
+         * @param nowNanos the time, in nanoseconds
+         * @return whether it does
+         */
+        boolean allows(Upstream upstream, long nowNanos);
+    }
+
     /**
      * Creates a placement.
      *
@@ -50,9 +66,23 @@
      * @return the placement
      */
     public static Placement create(String zone, IntSupplier nodes, long seed) {
+        return create(zone, nodes, (upstream, nowNanos) -> true, seed);
+    }
+
+    /**
+     * Creates a placement that keeps to the limits that upstreams name.
+     *
+     * @param zone failure domain of this VM
+     * @param nodes number of nodes that send to the same upstreams, this one included
+     * @param limit the limits
+     * @param seed seed of the random tie breaking
+     * @return the placement
+     */
+    public static Placement create(String zone, IntSupplier nodes, UpstreamLimit limit, long seed) {
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(nodes, "nodes");
-        return new Placement(zone, nodes, new Random(seed));
+        Objects.requireNonNull(limit, "limit");
+        return new Placement(zone, nodes, limit, new Random(seed));
     }
 
     /**
@@ -186,7 +216,7 @@
             PlacementRequest request,
             boolean mayClaimSlots,
             long nowNanos) {
-        if (candidate.load().isBackingOff(nowNanos)) {
+        if (candidate.load().isBackingOff(nowNanos) || !limit.allows(candidate.upstream(), nowNanos)) {
             return false;
         }
         if (engine.isEmpty()) {
