Continue a stream that ends with its connection before its first event at another engine

New on the users' pages: a stream may come with neither a length nor chunks and end with its connection. Such a stream is now broken off, and its engine is looked at as after any lost connection. UndelimitedStreamTest: 1 of 5 cases failed before.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.List;
@@ -50,6 +51,7 @@
     private boolean notRun;
     private OptionalDouble requestLimit = OptionalDouble.empty();
     private boolean streaming;
+    private boolean endsWithConnection;
     private boolean forwardingBody;
     private boolean done;
     private boolean sent;
@@ -131,6 +133,7 @@
             abort("the response has no signature");
             return;
         }
+        endsWithConnection = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
         HopHeaders.copy(response.headers(), headers);
         String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         streaming = isSuccess() && request.route().kind().isStream() && type.startsWith("text/event-stream");
@@ -315,11 +318,13 @@
     }
 
     private void endStream() {
-        if (splitter.hasIncompleteEvent()) {
+        // A stream that ends with its connection looks complete also where its engine crashed before the first event.
+        boolean isEmpty = endsWithConnection && request.lastEventId().isEmpty();
+        if (splitter.hasIncompleteEvent() || isEmpty) {
             releaseConnection();
             recordLostConnection();
             candidate.load().recordEnd(this, false, now());
-            end(Outcome.UNKNOWN, "the stream ended within an event");
+            end(Outcome.UNKNOWN, "the stream ended " + (isEmpty ? "without" : "within") + " an event");
             return;
         }
         releaseConnection();
