--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -10,14 +10,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.galenahinge.catalog.Organisation;
 import org.galenahinge.catalog.Route;
 import org.galenahinge.concurrent.Timers.Timer;
-import org.galenahinge.log.EventLog;
-import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.placement.PlacementCandidate;
 import org.galenahinge.placement.PlacementDecision;
 import org.galenahinge.placement.PromptShape;
@@ -25,7 +22,6 @@
 import org.galenahinge.placement.RetryPolicy.Next;
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.RetryPolicy.Progress;
-import org.galenahinge.quarantine.PromptPart;
 import org.galenahinge.upstream.UpstreamPool;
 
 /**
@@ -49,6 +45,7 @@
     private final Gateway gateway;
     private final CallerRequest request;
     private final ResponseWriter response;
+    private final RequestLog requestLog;
     private final Set<String> triedUpstreams = new HashSet<>();
     private AdmittedRequest admitted;
     private ServiceQueue queue;
@@ -67,6 +64,7 @@
         this.gateway = gateway;
         this.request = request;
         this.response = response;
+        this.requestLog = new RequestLog(gateway, request);
     }
 
     void start() {
@@ -84,6 +82,7 @@
             return;
         }
         admitted = ((RequestChecks.Result.Admitted) result).request();
+        requestLog.setAdmitted(admitted);
         queue = gateway.serviceQueue(admitted.service());
         queue.retryBudget().recordRequest(gateway.timers().nanoTime());
         deadlines = RequestDeadlines.of(request, admitted.route());
@@ -108,7 +107,7 @@
             return;
         }
         finish("caller_left");
-        logLine(Category.REQUEST, "caller_left").with("sent", attempts).write();
+        requestLog.callerDisconnected(attempts);
         currentAttempt.ifPresent(Attempt::cancel);
     }
 
@@ -186,17 +185,7 @@
     /** Finishes the request after the complete response has been passed on. */
     void attemptAnswered(Attempt done, int status) {
         finish("answered");
-        logLine(Category.REQUEST, "answered")
-                .with("upstream", done.upstreamId())
-                .with("status", status)
-                .with("sent", attempts)
-                .with("first_byte_ms", done.firstByteMillis())
-                .with("predicted_ms", done.predictedMillis())
-                .with("took_ms", millisSince(request.arrivedNanos()))
-                .with("events", done.events())
-                .with("parts", PromptPart.join(request.metadata().sharedParts()))
-                .with("limit", limitText(done.requestLimit()))
-                .write();
+        requestLog.answered(done, status, attempts);
     }
 
     /**
@@ -214,17 +203,8 @@
         currentAttempt = Optional.empty();
         Next next = RetryPolicy.decide(progress(), outcome);
         mayHaveRun |= outcome == Outcome.UNKNOWN || outcome == Outcome.FAILED;
-        logLine(Category.FAILURE, "attempt_failed")
-                .with("upstream", done.upstreamId())
-                .with("outcome", outcome.name())
-                .with("detail", detail)
-                .with("next", next.name())
-                .with("sent", attempts)
-                .with("after_ms", done.ageMillis())
-                .with("events", done.events())
-                .with("parts", PromptPart.join(request.metadata().sharedParts()))
-                .with("budget_left", (long) queue.retryBudget().remaining(gateway.nodes()))
-                .write();
+        long budgetLeft = (long) queue.retryBudget().remaining(gateway.nodes());
+        requestLog.attemptFailed(done, outcome, detail, next, attempts, budgetLeft);
         switch (next) {
             case SEND_AGAIN -> place();
             case REFUSE ->
@@ -344,19 +324,7 @@
                 request.metadata().prompt().map(this::exactVersion).orElse(OptionalLong.empty());
         Attempt next = new Attempt(this, candidate, pool.get(), chosen.predictedMillis(), exactVersion);
         currentAttempt = Optional.of(next);
-        logLine(Category.REQUEST, "placed")
-                .with("upstream", id)
-                .with("predicted_ms", (long) chosen.predictedMillis())
-                .with("own_calls", candidate.load().ownInFlight())
-                .with(
-                        "all_calls",
-                        candidate.load().totalInFlight(gateway.timers().nanoTime()))
-                .with(
-                        "report_age_ms",
-                        candidate.load().reportAgeMillis(gateway.timers().nanoTime()))
-                .with("sent", attempts)
-                .with("waited_ms", waitedMillis)
-                .write();
+        requestLog.placed(chosen, attempts, waitedMillis);
         queue.rate().recordPlaced(gateway.timers().nanoTime());
         if (!gateway.namedLimits().isEmpty()) {
             gateway.namedLimits()
@@ -441,16 +409,7 @@
             throw new IllegalStateException("a request that may have run must not be reported as not run");
         }
         finish(rejection.reason());
-        logLine(Category.FAILURE, "refused")
-                .with("status", rejection.status())
-                .with("reason", rejection.reason())
-                .with("detail", rejection.detail())
-                .with("sent", attempts)
-                .with("took_ms", millisSince(request.arrivedNanos()))
-                .with(
-                        "retry_after_ms",
-                        rejection.retryAfter().map(Duration::toMillis).orElse(0L))
-                .write();
+        requestLog.rejected(rejection, attempts);
         if (headSent) {
             response.abort();
             return;
@@ -473,23 +432,7 @@
         }
     }
 
-    private static String limitText(OptionalDouble limit) {
-        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "";
-    }
-
     private long millisSince(long nanos) {
         return Duration.ofNanos(gateway.timers().nanoTime() - nanos).toMillis();
     }
-
-    private EventLog.Line logLine(Category category, String event) {
-        var line = gateway.log().event(category, event).with("request", request.requestId());
-        if (admitted != null) {
-            line.with("route", admitted.route().name())
-                    .with("service", admitted.service())
-                    .with(
-                            "config",
-                            gateway.catalog().map(known -> known.version()).orElse(0L));
-        }
-        return line;
-    }
 }
