Keep the same suspects of a crash on all nodes

Found while reading the change: a crash with more than 64 suspects kept any 64 of them, and the order of immutable sets differs between processes. Two entries then never agree, and tell each other of the crash for ever. The suspects with the lowest ranks are kept now, where the rank depends on part and crash, so that no part is left out of all crashes. CrashTest (merge in any order and repeatedly; cleared stays cleared) failed before in both properties.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/Crash.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/Crash.java
@@ -1,5 +1,7 @@
 package org.galenahinge.quarantine;
 
+import com.google.common.hash.Hashing;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Objects;
 import java.util.Set;
@@ -17,10 +19,10 @@
     /** The maximum number of suspects of a crash, so that it fits into a datagram. */
     public static final int MAXIMUM_SUSPECTS = 64;
 
-    /** Copies the sets and drops the suspects above the maximum. */
+    /** Copies the sets and drops the suspects above the maximum: the same ones on all nodes, others for each crash. */
     public Crash {
-        suspects = suspects.stream().limit(MAXIMUM_SUSPECTS).collect(Collectors.toUnmodifiableSet());
-        cleared = cleared.stream().limit(MAXIMUM_SUSPECTS).collect(Collectors.toUnmodifiableSet());
+        suspects = first(suspects, upstream);
+        cleared = first(cleared, upstream);
     }
 
     /**
@@ -56,6 +58,25 @@
         return merge(new Crash(upstream, Set.of(), Set.of(part)));
     }
 
+    private static Set<PromptPart> first(Set<PromptPart> parts, long upstream) {
+        if (parts.size() <= MAXIMUM_SUSPECTS) {
+            return Set.copyOf(parts);
+        }
+        return parts.stream()
+                .sorted(Comparator.comparingLong(part -> rank(part, upstream)))
+                .limit(MAXIMUM_SUSPECTS)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private static long rank(PromptPart part, long upstream) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putLong(upstream)
+                .putLong(part.id())
+                .hash()
+                .asLong();
+    }
+
     private static Set<PromptPart> union(Set<PromptPart> first, Set<PromptPart> second) {
         Set<PromptPart> union = new LinkedHashSet<>(first);
         union.addAll(second);
