Drop the oldest crashes from a full ledger, on all nodes alike; gauges of crashes and limits known

Found while reading the change: a full ledger dropped whichever crash it had heard of first and took up the next one that another node told it of, so that nodes with more than 64 crashes between them would have passed the same ones on for ever. Now an older crash than all that are held is not taken up. Causes are computed anew before something is dropped: the test with 1,000 crashes showed that the crashes of a known cause could go.

--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -116,6 +116,15 @@
         return states.isEmpty();
     }
 
+    /**
+     * Returns the number of limits that are held, ended ones included.
+     *
+     * @return the number, which is bounded
+     */
+    public int size() {
+        return states.size();
+    }
+
     /**
      * Records whether a response of an upstream named a limit.
      *
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -58,6 +58,8 @@
     private final FactRelay relay;
     private final WeightsServer weightsServer;
     private final Gateway gateway;
+    private final CrashLedger crashLedger;
+    private final NamedLimits namedLimits;
     private final EntryGossip gossip;
     private DatagramNetwork gossipDatagrams;
     private CallerServer callerServer;
@@ -88,9 +90,9 @@
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
         GatewaySettings gatewaySettings = new GatewaySettings(
                 settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout());
-        CrashLedger crashLedger = CrashLedger.create(
+        this.crashLedger = CrashLedger.create(
                 part -> roster.assigneeOf("trial/" + part).filter(self::equals).isPresent());
-        NamedLimits namedLimits = NamedLimits.create(() -> roster.positionOf(self));
+        this.namedLimits = NamedLimits.create(() -> roster.positionOf(self));
         this.gossip = new EntryGossip(
                 self,
                 roster,
@@ -231,6 +233,8 @@
                 threads,
                 new WireAddress(settings.address(), settings.metricsPort()),
                 (uri, reply) -> reply.accept(MetricsText.of(metrics)));
+        metrics.gauge("crashes.known", () -> crashLedger::size);
+        metrics.gauge("limits.known", () -> namedLimits::size);
         metrics.gauge("callers.connections", () -> callerServer::connections);
         metrics.gauge("facts.age.millis", () -> () -> synchronizer.age().toMillis());
         metrics.gauge(
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -88,7 +88,7 @@
         Entry known = crashes.get(reported.crash().upstream());
         long crashNanos = nowNanos - reported.age().toNanos();
         if (known == null) {
-            if (reported.age().compareTo(RETENTION) >= 0 || !hasRoom()) {
+            if (reported.age().compareTo(RETENTION) >= 0 || !makeRoomFor(crashNanos, nowNanos)) {
                 return;
             }
             Crash crash = clearServed(reported.crash(), crashNanos);
@@ -169,6 +169,15 @@
         return crashes.isEmpty();
     }
 
+    /**
+     * Returns the number of crashes that are held.
+     *
+     * @return the number, at most {@link #MAXIMUM_CRASHES}
+     */
+    public int size() {
+        return crashes.size();
+    }
+
     /**
      * Returns all crashes.
      *
@@ -205,18 +214,22 @@
         nextChangeNanos = Optional.of(entry.changedNanos());
     }
 
-    /** Makes room by dropping the oldest crash that no cause explains; those that it explains keep it in force. */
-    private boolean hasRoom() {
+    /**
+     * Makes room for a crash by dropping an older one that no cause explains; those that it explains keep it in force. All
+     * nodes keep the youngest ones, so that they do not tell each other of those that the others have dropped.
+     */
+    private boolean makeRoomFor(long crashNanos, long nowNanos) {
         if (crashes.size() < MAXIMUM_CRASHES) {
             return true;
         }
-        Optional<Long> unexplained = crashes.values().stream()
-                .filter(entry -> causes.stream()
+        List<Cause> known = causes(nowNanos);
+        Optional<Entry> oldest = crashes.values().stream()
+                .filter(entry -> known.stream()
                         .noneMatch(cause -> entry.crash().remaining().containsAll(cause.parts())))
-                .map(entry -> entry.crash().upstream())
-                .findFirst();
-        unexplained.ifPresent(crashes::remove);
-        return unexplained.isPresent();
+                .min((first, second) -> Long.signum(first.crashNanos() - second.crashNanos()))
+                .filter(entry -> entry.crashNanos() - crashNanos < 0);
+        oldest.ifPresent(entry -> crashes.remove(entry.crash().upstream()));
+        return oldest.isPresent();
     }
 
     private void removeExpired(long nowNanos) {
