Let a trial of a doubtful cause take place, and one node try a cause of several parts

Found while reading the change: a request chosen for a trial was checked again when it left the queue, rejected, and the trial was used up without an event or a crash; and a cause of several parts needed one node for all of them, which rendezvous hashing hardly ever gives, so that it was never tried. A request on trial is now not checked again until it has been sent, and the part with the lowest id names the node. CrashLedgerTest.triesACauseOfSeveralPartsAtOneNode failed before (0 trials, 2 expected).

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -22,6 +22,7 @@
 import org.galenahinge.placement.RetryPolicy.Next;
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.RetryPolicy.Progress;
+import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.upstream.UpstreamPool;
 
 /**
@@ -55,6 +56,7 @@
     private int attempts;
     private boolean mayHaveRun;
     private boolean waiting;
+    private boolean onTrial;
     private long waitedMillis;
     private boolean headSent;
     private boolean ended;
@@ -320,6 +322,7 @@
             return;
         }
         triedUpstreams.add(id);
+        onTrial = false;
         OptionalLong exactVersion =
                 request.metadata().prompt().map(this::exactVersion).orElse(OptionalLong.empty());
         Attempt next = new Attempt(this, candidate, pool.get(), chosen.predictedMillis(), exactVersion);
@@ -386,10 +389,15 @@
         return Rejection.mayHaveRun("may_have_run", detail);
     }
 
+    /** A request on trial is not checked again until it has been sent, so that the trial takes place. */
     private boolean isQuarantined() {
-        return gateway.crashLedger()
-                .isQuarantined(
-                        request.metadata().sharedParts(), gateway.timers().nanoTime());
+        if (onTrial) {
+            return false;
+        }
+        CrashLedger.Decision decision = gateway.crashLedger()
+                .decide(request.metadata().sharedParts(), gateway.timers().nanoTime());
+        onTrial = decision == CrashLedger.Decision.TRIAL;
+        return decision == CrashLedger.Decision.QUARANTINED;
     }
 
     private void rejectQuarantined() {
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +50,7 @@
     /**
      * Creates an empty ledger.
      *
-     * @param triedHere whether this node is the one that may try a request with a part whose guilt is not certain
+     * @param triedHere whether this node is the one that may try a request with a doubtful cause, by the first of its parts
      * @return the ledger
      */
     public static CrashLedger create(Predicate<PromptPart> triedHere) {
@@ -114,22 +115,35 @@
         }
     }
 
+    /** Whether a request may be sent to an engine. */
+    public enum Decision {
+        /** It contains no cause of crashes. */
+        ALLOWED,
+        /** It contains a doubtful cause, and this node has chosen it to find out. */
+        TRIAL,
+        /** It must not be sent. */
+        QUARANTINED
+    }
+
     /**
-     * Returns whether a request must not be sent to an engine.
+     * Decides whether a request may be sent to an engine.
      *
      * @param parts the parts of its prompt
      * @param nowNanos the time, in nanoseconds
-     * @return whether it contains all parts of a cause of crashes and is not to be tried by this node
+     * @return the decision; a trial counts as begun
      */
-    public boolean isQuarantined(Collection<PromptPart> parts, long nowNanos) {
+    public Decision decide(Collection<PromptPart> parts, long nowNanos) {
         if (crashes.isEmpty() || parts.isEmpty()) {
-            return false;
+            return Decision.ALLOWED;
         }
-        boolean quarantined = false;
-        for (Cause cause : causes(nowNanos)) {
-            quarantined |= parts.containsAll(cause.parts()) && !startTrial(cause, nowNanos);
+        List<Cause> contained = causes(nowNanos).stream()
+                .filter(cause -> parts.containsAll(cause.parts()))
+                .toList();
+        if (contained.isEmpty()) {
+            return Decision.ALLOWED;
         }
-        return quarantined;
+        boolean mayTry = contained.size() == 1 && startTrial(contained.get(0), nowNanos);
+        return mayTry ? Decision.TRIAL : Decision.QUARANTINED;
     }
 
     /**
@@ -260,7 +274,8 @@
 
     /** One node at a time tries one request with parts that are not certain to crash engines, a few times at most. */
     private boolean startTrial(Cause cause, long nowNanos) {
-        if (cause.isCertain() || !cause.parts().stream().allMatch(triedHere)) {
+        Optional<PromptPart> first = cause.parts().stream().min(Comparator.comparingLong(PromptPart::id));
+        if (cause.isCertain() || first.filter(triedHere).isEmpty()) {
             return false;
         }
         Trials before = trials.get(cause.parts());
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -212,7 +212,7 @@
                 return;
             }
             boolean crashing = parts.contains(CRASHING);
-            boolean rejected = ledger.isQuarantined(parts, timers.nanoTime());
+            boolean rejected = ledger.decide(parts, timers.nanoTime()) == CrashLedger.Decision.QUARANTINED;
             if (!crashing) {
                 count(rejected);
             }
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
+import org.galenahinge.quarantine.CrashLedger.Decision;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,9 +25,9 @@
     @CsvSource({"2, false", "3, true", "5, true"})
     void quarantinesAPartAfterThreeCrashes(int crashes, boolean expected) {
         crash(crashes, BAD);
-        assertThat(ledger.isQuarantined(List.of(SOUND, BAD), nowNanos)).isEqualTo(expected);
-        assertThat(ledger.isQuarantined(List.of(SOUND), nowNanos)).isFalse();
-        assertThat(ledger.isQuarantined(List.of(), nowNanos)).isFalse();
+        assertThat(isQuarantined(List.of(SOUND, BAD))).isEqualTo(expected);
+        assertThat(isQuarantined(List.of(SOUND))).isFalse();
+        assertThat(isQuarantined(List.of())).isFalse();
     }
 
     /** Requests that were lost with an engine may show at another one that their parts are sound. */
@@ -35,19 +36,19 @@
         for (int crash = 0; crash < 3; crash++) {
             ledger.add(aged(Set.of(BAD), Duration.ZERO), nowNanos);
         }
-        assertThat(ledger.isQuarantined(List.of(BAD), nowNanos)).isFalse();
+        assertThat(isQuarantined(List.of(BAD))).isFalse();
         ledger.recordServed(List.of(BAD), nowNanos + Duration.ofMillis(300).toNanos());
         nowNanos += SETTLED.toNanos();
-        assertThat(ledger.isQuarantined(List.of(BAD), nowNanos)).isFalse();
+        assertThat(isQuarantined(List.of(BAD))).isFalse();
     }
 
     @ParameterizedTest
     @ValueSource(ints = {3, 5, 9})
     void releasesAPartThatBringsAnEvent(int crashes) {
         crash(crashes, BAD);
-        assertThat(ledger.isQuarantined(List.of(BAD), nowNanos)).isTrue();
+        assertThat(isQuarantined(List.of(BAD))).isTrue();
         ledger.recordServed(List.of(BAD), nowNanos);
-        assertThat(ledger.isQuarantined(List.of(BAD), nowNanos)).isFalse();
+        assertThat(isQuarantined(List.of(BAD))).isFalse();
     }
 
     /** An event that is known before the crash is heard of clears the part as well. */
@@ -66,7 +67,7 @@
         crash(crashes, BAD);
         int trials = 0;
         for (int second = 0; second < 600; second++) {
-            trials += ledger.isQuarantined(List.of(BAD), nowNanos) ? 0 : 1;
+            trials += isQuarantined(List.of(BAD)) ? 0 : 1;
             nowNanos += Duration.ofSeconds(1).toNanos();
         }
         assertThat(trials).isEqualTo(expected);
@@ -94,7 +95,30 @@
         crash(5, BAD);
         nowNanos += Duration.ofHours(1).toNanos();
         assertThat(ledger.all(nowNanos)).isEmpty();
-        assertThat(ledger.isQuarantined(List.of(BAD), nowNanos)).isFalse();
+        assertThat(isQuarantined(List.of(BAD))).isFalse();
+    }
+
+    /** Guards against causes of several parts that no node may try, because each part has another node. */
+    @Test
+    void triesACauseOfSeveralPartsAtOneNode() {
+        CrashLedger other = CrashLedger.create(part -> !part.equals(BAD) && !part.equals(SOUND));
+        CrashLedger one = CrashLedger.create(part -> part.equals(SOUND));
+        for (int crash = 0; crash < 3; crash++) {
+            AgedCrash told = aged(Set.of(SOUND, BAD), SETTLED);
+            one.add(told, nowNanos);
+            other.add(told, nowNanos);
+        }
+        int trials = 0;
+        for (int second = 0; second < 60; second++) {
+            trials += one.decide(List.of(SOUND, BAD), nowNanos) == Decision.TRIAL ? 1 : 0;
+            assertThat(other.decide(List.of(SOUND, BAD), nowNanos)).isEqualTo(Decision.QUARANTINED);
+            nowNanos += Duration.ofSeconds(1).toNanos();
+        }
+        assertThat(trials).isEqualTo(2);
+    }
+
+    private boolean isQuarantined(List<PromptPart> parts) {
+        return ledger.decide(parts, nowNanos) == Decision.QUARANTINED;
     }
 
     private void crash(int times, PromptPart part) {
