Do no work for named limits where none is known, and look a position up instead of searching it

Each response hashed the key of its upstream's incarnation though hardly any upstream names a limit, and the check for that stood in three places; it stands in Gateway now. An entry searched the whole roster for its own position for each limited upstream and request; the roster keeps positions, computed when its members change.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -128,7 +128,7 @@
             abort("the response belongs to another request");
             return;
         }
-        request.gateway().namedLimits().recordResponse(candidate.upstream().incarnationKey(), requestLimit, now());
+        request.gateway().recordLimit(candidate.upstream(), requestLimit);
         if (isSuccess() && !metadata.signed()) {
             abort("the response has no signature");
             return;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -329,12 +329,7 @@
         currentAttempt = Optional.of(next);
         requestLog.placed(chosen, attempts, waitedMillis);
         queue.rate().recordPlaced(gateway.timers().nanoTime());
-        if (!gateway.namedLimits().isEmpty()) {
-            gateway.namedLimits()
-                    .recordSent(
-                            candidate.upstream().incarnationKey(),
-                            gateway.timers().nanoTime());
-        }
+        gateway.recordSent(candidate.upstream());
         int prompt = request.metadata().prompt().map(PromptShape::promptTokens).orElse(0);
         candidate.load().recordSent(next, prompt, gateway.timers().nanoTime());
         double idleShare = admitted.route().kind().isIdempotent() ? IDEMPOTENT_IDLE_SHARE : NON_IDEMPOTENT_IDLE_SHARE;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -200,8 +201,18 @@
         return crashDetector;
     }
 
-    NamedLimits namedLimits() {
-        return namedLimits;
+    /** Records whether a response of an upstream named a limit. */
+    void recordLimit(Upstream upstream, OptionalDouble perSecond) {
+        if (perSecond.isPresent() || !namedLimits.isEmpty()) {
+            namedLimits.recordResponse(upstream.incarnationKey(), perSecond, timers.nanoTime());
+        }
+    }
+
+    /** Records that a request is sent to an upstream, which counts towards the limit that it may have named. */
+    void recordSent(Upstream upstream) {
+        if (!namedLimits.isEmpty()) {
+            namedLimits.recordSent(upstream.incarnationKey(), timers.nanoTime());
+        }
     }
 
     double randomFraction() {
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.galenahinge.limit.NamedLimits.Position;
 import org.galenahinge.routing.Rendezvous;
@@ -27,6 +28,7 @@
     private final String zone;
     private final Random random;
     private List<NodeAddress> up = List.of();
+    private Map<NodeAddress, Integer> positions = Map.of();
     private Map<String, List<NodeAddress>> byZone = Map.of();
     private Optional<NodeAddress> watcher = Optional.empty();
     private Optional<NodeAddress> ownRelay = Optional.empty();
@@ -44,6 +46,9 @@
             return;
         }
         up = List.copyOf(sorted);
+        positions = IntStream.range(0, up.size())
+                .boxed()
+                .collect(Collectors.toUnmodifiableMap(up::get, index -> index, (first, second) -> first));
         byZone = Map.copyOf(up.stream().collect(Collectors.groupingBy(NodeAddress::zone)));
         watcher = assignee(up, WATCH_DUTY);
         ownRelay = relayOf(zone);
@@ -59,8 +64,8 @@
 
     /** Returns the position of an entry among those that are up; an entry that is not up comes after them. */
     Position positionOf(NodeAddress entry) {
-        int index = up.indexOf(entry);
-        return index >= 0 ? new Position(index, up.size()) : new Position(up.size(), up.size() + 1);
+        Integer index = positions.get(entry);
+        return index == null ? new Position(up.size(), up.size() + 1) : new Position(index, up.size());
     }
 
     /** Returns the entry that reads the store for all. */
