--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/StoreStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/StoreStandIn.java
@@ -24,15 +24,29 @@
     private final AtomicInteger requests = new AtomicInteger();
     private long revision = 1;
     private long compactedRevision;
+    private long epoch = 1;
     private volatile boolean unavailable;
 
     /** A state of an item; a value of null marks its removal. */
-    private record Item(String key, String value, long revision) {
+    record Item(String key, String value, long revision) {
         boolean isRemoved() {
             return value == null;
         }
     }
 
+    /**
+     * A copy of the store's contents.
+     *
+     * @param revision the store's revision when the copy was made
+     * @param items the items, by key
+     */
+    public record Backup(long revision, Map<String, Item> items) {
+        /** Copies the items. */
+        public Backup {
+            items = Map.copyOf(items);
+        }
+    }
+
     /**
      * Starts an empty store on a free loopback port.
      *
@@ -77,6 +91,30 @@
         notifyAll();
     }
 
+    /**
+     * Copies the contents.
+     *
+     * @return the copy
+     */
+    public synchronized Backup backup() {
+        return new Backup(revision, items);
+    }
+
+    /**
+     * Goes back to an older copy: whatever was written since is lost, and its revisions are given out again. Watches from
+     * a revision after that of the copy get status 410.
+     *
+     * @param backup the copy
+     */
+    public synchronized void restore(Backup backup) {
+        epoch++;
+        revision = backup.revision();
+        items.clear();
+        items.putAll(backup.items());
+        history.removeIf(item -> item.revision() > revision);
+        notifyAll();
+    }
+
     /**
      * Makes the store unavailable, so that it responds to all requests with status 503, or available again.
      *
@@ -118,13 +156,26 @@
             return;
         }
         switch (exchange.getRequestURI().getPath()) {
-            case "/galenahinge/kv-range" -> StandInServer.respond(exchange, 200, range(query));
+            case "/galenahinge/kv-range" -> list(exchange, query);
             case "/galenahinge/kv-watch" -> watch(exchange, query);
             default -> StandInServer.respond(exchange, 404, new byte[0]);
         }
     }
 
-    private synchronized byte[] range(Map<String, String> query) throws IOException {
+    private void list(HttpExchange exchange, Map<String, String> query) throws IOException {
+        byte[] body;
+        synchronized (this) {
+            body = range(query);
+            nameEpoch(exchange);
+        }
+        StandInServer.respond(exchange, 200, body);
+    }
+
+    private void nameEpoch(HttpExchange exchange) {
+        exchange.getResponseHeaders().set("Store-Era", Long.toString(epoch));
+    }
+
+    private byte[] range(Map<String, String> query) throws IOException {
         ObjectNode response = json.createObjectNode();
         ArrayNode page = response.putArray("items");
         String prefix = query.getOrDefault("prefix", "");
@@ -149,7 +200,8 @@
         byte[] body;
         synchronized (this) {
             awaitChange(after, deadlineMillis);
-            if (after < compactedRevision) {
+            nameEpoch(exchange);
+            if (after < compactedRevision || after > revision) {
                 body = new byte[0];
             } else {
                 body = json.writeValueAsBytes(events(after));
@@ -160,7 +212,7 @@
 
     private void awaitChange(long after, long deadlineMillis) {
         try {
-            while (revision <= after && System.currentTimeMillis() < deadlineMillis) {
+            while (revision == after && System.currentTimeMillis() < deadlineMillis) {
                 wait(Math.max(1, deadlineMillis - System.currentTimeMillis()));
             }
         } catch (InterruptedException e) {
