Order facts by what they say and by the store's epoch, and never go back because an older copy was read

Cause: items were ordered by the store's revision, and revisions are given out again. Each entry kept what it had read under revisions up to 14 and ignored what was written under them again; each read the store every 120 ms for a 410, because its own revision was ahead. Class: a counter of another system taken for an order in time.

Ruled out, from the logs: entries went back to the older copy (all held version 11 throughout), and stale reads (facts were fresh).

Change: - An item's position is an epoch and a revision; the store names its epoch in each response. Otherwise an item of a later epoch is an older copy if its revision is not above that of the change before the one held; then the held one is retained and moved to the later epoch, so that all later comparisons are simple. - All of it (epoch, previous revision, rank) is sent on every hop. Readers of a node name the log that they read and its last change, since what a node holds may be ahead of the store; removals are part of a full answer. - A node that starts relies on the store once another node has responded, or after three failures or 0.7 s; it reads a peer for 5 s after a start and after a restore, also as the watcher. - Records that the restored store lacks are kept 2 s, as after an outage, since an upstream that runs writes its own again. - PeerSelector left out all seeds on its own host, whatever their port; it leaves out itself only.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -4,146 +4,256 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
- * Holds the newest item of each key. Items are merged by revision: changes may arrive out of order, repeatedly or
- * incompletely, and no key goes back to an older revision. Belongs to one thread.
+ * Holds the newest item of each key. Changes may arrive out of order, repeatedly or incompletely, from the store or from
+ * other nodes, and no key goes back to an older item: neither because of a late copy, nor because the store was restored
+ * from an older copy of itself. Belongs to one thread.
  *
- * <p>Removals are kept as well, so that an older copy from another node cannot restore a removed item. Their number is
- * bounded.
+ * <p>Items are ordered by what they say where that has an order ({@link FactRank}), and by their position in the store
+ * otherwise. Removals are kept as well, so that an older copy cannot bring back a removed item. Their number is bounded.
+ *
+ * <p>Nodes that read this log learn what it holds by the sequence of its own changes, since what it holds may be ahead of
+ * a store that was restored.
  */
 public final class FactLog {
     /** The maximum number of removals kept. */
     public static final int MAXIMUM_REMOVALS = 2_000;
 
-    private final Map<String, FactItem> items = new HashMap<>();
+    private final long id;
+    private final Map<String, Held> items = new HashMap<>();
     private int removals;
-    private long revision;
-    private long newestChange;
-    private long newestDroppedRemoval;
+    private StorePosition position = StorePosition.NONE;
+    private StorePosition newestDroppedRemoval = StorePosition.NONE;
+    private long sequence;
+    private long droppedSequence;
+
+    /** An item, and the number of the change of this log that brought it. */
+    private record Held(FactItem item, long sequence) {}
+
+    private FactLog(long id) {
+        this.id = id;
+    }
+
+    /**
+     * Creates an empty log.
+     *
+     * @param id identifies the log among those of all nodes and starts; not 0
+     * @return the log
+     */
+    public static FactLog create(long id) {
+        if (id == 0) {
+            throw new IllegalArgumentException("id must not be 0");
+        }
+        return new FactLog(id);
+    }
 
     /**
      * Merges changes.
      *
      * @param changes the changes, in any order
-     * @param completeTo the revision up to which the sender's changes are complete
-     * @return the changes that were newer than the items held, ordered by revision
+     * @param completeTo the position up to which the sender's changes are complete
+     * @return the changes that say something new, ordered by position
      */
-    public List<FactItem> merge(Collection<FactItem> changes, long completeTo) {
-        List<FactItem> applied = new ArrayList<>();
-        for (FactItem change : changes) {
-            if (applyIfNewer(change)) {
-                applied.add(change);
-            }
-        }
-        revision = Math.max(revision, completeTo);
-        dropOldRemovals();
-        applied.sort(Comparator.comparingLong(FactItem::revision));
-        return applied;
+    public List<FactItem> merge(Collection<FactItem> changes, StorePosition completeTo) {
+        return merge(changes, completeTo, true);
     }
 
     /**
-     * Merges a snapshot. Items that it lacks are removed, except those newer than the snapshot.
+     * Merges a snapshot. Items that it lacks are removed, except those newer than the snapshot and those that never end.
      *
      * @param snapshot all items
-     * @param takenAt the store's revision when reading the snapshot began
-     * @return the changes that were newer than the items held, ordered by revision
+     * @param takenAt the store's position when reading the snapshot began
+     * @return the changes that say something new, ordered by position
      */
-    public List<FactItem> mergeSnapshot(Collection<FactItem> snapshot, long takenAt) {
-        Map<String, FactItem> itemsByKey = new HashMap<>();
-        snapshot.forEach(item -> itemsByKey.put(item.key(), item));
-        List<FactItem> changes = new ArrayList<>(snapshot);
-        for (FactItem held : items.values()) {
-            if (!held.removed() && held.revision() <= takenAt && !itemsByKey.containsKey(held.key())) {
-                changes.add(FactItem.removed(held.key(), takenAt));
+    public List<FactItem> mergeSnapshot(Collection<FactItem> snapshot, StorePosition takenAt) {
+        Set<String> keys = new HashSet<>();
+        snapshot.forEach(item -> keys.add(item.key()));
+        List<FactItem> lacking = new ArrayList<>();
+        for (Held held : items.values()) {
+            FactItem item = held.item();
+            boolean older = item.position().compareTo(takenAt) <= 0;
+            if (older && !item.removed() && !item.isPermanent() && !keys.contains(item.key())) {
+                lacking.add(item);
             }
         }
-        return merge(changes, takenAt);
+        List<FactItem> applied = new ArrayList<>();
+        for (FactItem item : lacking) {
+            FactItem removal = FactItem.removed(item.key(), takenAt).replacing(item, false);
+            put(removal, ++sequence);
+            applied.add(removal);
+        }
+        applied.addAll(merge(snapshot, takenAt, false));
+        return applied;
     }
 
     /**
-     * Returns the changes after a revision.
+     * Returns what a reader does not know.
      *
-     * @param after the revision up to which the reader is complete
-     * @return the changes ordered by revision, or a snapshot if removals since then may have been dropped
+     * @param reader how far the reader has read
+     * @return the changes, or all items with their removals if it cannot be told which ones the reader knows
      */
-    public Changes changesAfter(long after) {
+    public Changes changesAfter(FactCursor reader) {
+        boolean needsAll = needsAll(reader);
         List<FactItem> changes = items.values().stream()
-                .filter(changedAfter(after))
-                .sorted(Comparator.comparingLong(FactItem::revision))
+                .filter(needsAll ? held -> true : unknownTo(reader))
+                .map(Held::item)
+                .sorted(Comparator.comparing(FactItem::position))
                 .toList();
-        return new Changes(changes, needsSnapshot(after), revision);
+        return new Changes(changes, needsAll, new FactCursor(position, id, sequence));
     }
 
     /**
-     * Tells whether {@link #changesAfter} would return any items.
+     * Tells whether a reader must be told something at once: a change, or where to read on in this log.
      *
-     * @param after the revision up to which the reader is complete
-     * @return whether something changed
+     * @param reader how far the reader has read
+     * @return whether it has not read this log to its end
      */
-    public boolean hasChangesAfter(long after) {
-        return needsSnapshot(after) ? items.size() > removals : newestChange > after;
+    public boolean hasChangesAfter(FactCursor reader) {
+        return reader.logId() != id || reader.sequence() < sequence;
     }
 
-    /** Tells whether removals that the reader has not seen may have been dropped. */
-    private boolean needsSnapshot(long after) {
-        return after < newestDroppedRemoval || after == 0;
+    /**
+     * Returns the items that are not removed.
+     *
+     * @return the items, ordered by position
+     */
+    public List<FactItem> present() {
+        return items.values().stream()
+                .map(Held::item)
+                .filter(item -> !item.removed())
+                .sorted(Comparator.comparing(FactItem::position))
+                .toList();
     }
 
-    private Predicate<FactItem> changedAfter(long after) {
-        return needsSnapshot(after) ? item -> !item.removed() : item -> item.revision() > after;
+    /**
+     * Returns the position up to which the held items are complete.
+     *
+     * @return the position, {@link StorePosition#NONE} before the first snapshot
+     */
+    public StorePosition position() {
+        return position;
     }
 
     /**
-     * Returns the revision up to which the held items are complete.
+     * Returns the number of items that are kept although the store was restored from a copy without them, and that have
+     * not been written since.
      *
-     * @return the revision, 0 before the first snapshot
+     * @return the number of items, removals included
      */
-    public long revision() {
-        return revision;
+    public long retained() {
+        return items.values().stream().filter(held -> held.item().isRetained()).count();
     }
 
-    private boolean applyIfNewer(FactItem change) {
-        FactItem held = items.get(change.key());
-        if (held != null && held.revision() >= change.revision()) {
-            return false;
+    private List<FactItem> merge(Collection<FactItem> changes, StorePosition completeTo, boolean incremental) {
+        boolean restored = position.isKnown() && completeTo.epoch() > position.epoch();
+        List<FactItem> applied = new ArrayList<>();
+        for (FactItem change : changes) {
+            if (applyIfNewer(change, incremental)) {
+                applied.add(change);
+            }
+        }
+        if (completeTo.compareTo(position) > 0) {
+            position = completeTo;
+        }
+        boolean earlierEpoch =
+                changes.stream().anyMatch(change -> change.position().epoch() < position.epoch());
+        if (restored || earlierEpoch) {
+            retainEarlierEpochs();
+        }
+        dropOldRemovals();
+        applied.sort(Comparator.comparing(FactItem::position));
+        return applied;
+    }
+
+    /** Returns whether the change says something new. */
+    private boolean applyIfNewer(FactItem change, boolean incremental) {
+        Held held = items.get(change.key());
+        if (held == null) {
+            boolean mayBeDropped = change.removed() && change.position().compareTo(newestDroppedRemoval) <= 0;
+            if (mayBeDropped || isLost(change)) {
+                return false;
+            }
+            put(change, ++sequence);
+            return true;
         }
-        if (held == null && change.removed() && change.revision() <= newestDroppedRemoval) {
+        if (!change.supersedes(held.item())) {
             return false;
         }
-        items.put(change.key(), change);
-        newestChange = Math.max(newestChange, change.revision());
-        removals += (change.removed() ? 1 : 0) - (held != null && held.removed() ? 1 : 0);
-        return true;
+        FactItem next = change.replacing(held.item(), incremental);
+        boolean same = next.describesSame(held.item());
+        put(next, same ? held.sequence() : ++sequence);
+        return !same;
+    }
+
+    /** Tells whether the restored store lacks an item that it held before; what still exists is written again. */
+    private boolean isLost(FactItem change) {
+        return !change.removed() && !change.isPermanent() && change.position().epoch() < position.epoch();
+    }
+
+    private void put(FactItem item, long changeSequence) {
+        Held before = items.put(item.key(), new Held(item, changeSequence));
+        removals += (item.removed() ? 1 : 0) - (before != null && before.item().removed() ? 1 : 0);
+    }
+
+    /**
+     * Moves the items of earlier epochs to this one, so that what is written from now on is newer than they are. Those that
+     * the restored store holds as well have been moved with their own revisions.
+     */
+    private void retainEarlierEpochs() {
+        items.replaceAll((key, held) -> held.item().position().epoch() < position.epoch()
+                ? new Held(held.item().retainedAt(position), held.sequence())
+                : held);
+    }
+
+    private boolean needsAll(FactCursor reader) {
+        if (reader.logId() == id) {
+            return reader.sequence() < droppedSequence;
+        }
+        boolean sameHistory = reader.position().isKnown() && reader.position().epoch() == position.epoch();
+        return !sameHistory || reader.position().compareTo(newestDroppedRemoval) < 0;
+    }
+
+    private Predicate<Held> unknownTo(FactCursor reader) {
+        if (reader.logId() == id) {
+            return held -> held.sequence() > reader.sequence();
+        }
+        return held -> held.item().position().compareTo(reader.position()) > 0
+                || held.item().isRetained();
     }
 
     private void dropOldRemovals() {
         if (removals <= MAXIMUM_REMOVALS) {
             return;
         }
-        List<FactItem> oldest = items.values().stream()
-                .filter(FactItem::removed)
-                .sorted(Comparator.comparingLong(FactItem::revision))
+        List<Held> oldest = items.values().stream()
+                .filter(held -> held.item().removed())
+                .sorted(Comparator.comparing(held -> held.item().position()))
                 .limit(MAXIMUM_REMOVALS / 2)
                 .toList();
-        for (FactItem removal : oldest) {
-            items.remove(removal.key());
-            newestDroppedRemoval = Math.max(newestDroppedRemoval, removal.revision());
+        for (Held removal : oldest) {
+            items.remove(removal.item().key());
+            droppedSequence = Math.max(droppedSequence, removal.sequence());
+            if (removal.item().position().compareTo(newestDroppedRemoval) > 0) {
+                newestDroppedRemoval = removal.item().position();
+            }
             removals--;
         }
     }
 
     /**
-     * The changes after a revision.
+     * What a reader does not know.
      *
-     * @param items the changes, or all items of a snapshot
+     * @param items the changes, or all items with their removals
      * @param snapshot whether these are all items, so that any other item has been removed
-     * @param revision the revision up to which they are complete
+     * @param cursor how far the reader has read with them
      */
-    public record Changes(List<FactItem> items, boolean snapshot, long revision) {
+    public record Changes(List<FactItem> items, boolean snapshot, FactCursor cursor) {
         /** Copies the items. */
         public Changes {
             items = List.copyOf(items);
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSource.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSource.java
@@ -7,13 +7,13 @@
 /** Reads the published items, either from the store itself or from another node that relays them. */
 public interface FactSource {
     /**
-     * Reads the changes after a revision. If there are none yet, waits for a change.
+     * Reads the changes that the reader does not know. If there are none yet, waits for a change.
      *
-     * @param after the revision up to which the reader is complete; 0 reads a snapshot of all items
+     * @param after how far the reader has read; {@link FactCursor#START} reads a snapshot of all items
      * @param wait the maximum time to wait for a change
      * @return the result; fails with a {@link FactReadException}
      */
-    CompletionStage<ReadResult> read(long after, Duration wait);
+    CompletionStage<ReadResult> read(FactCursor after, Duration wait);
 
     /**
      * Returns the name for log lines.
@@ -27,10 +27,10 @@
      *
      * @param items the changes, or all items of a snapshot
      * @param snapshot whether these are all items
-     * @param revision the revision up to which they are complete
+     * @param cursor how far the reader has read with them
      * @param age the age of the items when the source sent them; zero for the store itself
      */
-    record ReadResult(List<FactItem> items, boolean snapshot, long revision, Duration age) {
+    record ReadResult(List<FactItem> items, boolean snapshot, FactCursor cursor, Duration age) {
         /** Copies the items. */
         public ReadResult {
             items = List.copyOf(items);
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -38,6 +38,13 @@
      */
     private static final Duration STORE_OUTAGE_AFTER = Duration.ofMillis(2_500);
 
+    /**
+     * How long a node that has read the store waits for another node before it relies on what it read: the store may have
+     * been restored from an older copy, and others may know better.
+     */
+    private static final Duration MAXIMUM_PEER_WAIT_AT_START = Duration.ofMillis(700);
+
+    private static final int MAXIMUM_PEER_FAILURES_AT_START = 3;
     private static final Duration STALE_RESULT_PAUSE = Duration.ofMillis(60);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(80);
@@ -62,6 +69,10 @@
     private long fallbackUntilNanos;
     private Optional<FactSource> preferredPeer = Optional.empty();
     private long preferredUntilNanos;
+    private boolean peerAnswered;
+    private long storeReadNanos;
+    private long comparePeersUntilNanos;
+    private FactCursor peerCursor = FactCursor.START;
 
     /** Receives items that changed. */
     @FunctionalInterface
@@ -111,6 +122,7 @@
         this.random = new Random(seed);
         this.factsAsOfNanos = timers.nanoTime();
         this.fallbackUntilNanos = factsAsOfNanos;
+        this.comparePeersUntilNanos = factsAsOfNanos;
     }
 
     /**
@@ -138,8 +150,8 @@
     }
 
     /**
-     * Sets the action that runs when reads succeed again after neither the store nor any peer delivered up-to-date
-     * facts.
+     * Sets the action that runs when upstream records may have expired or been lost: reads succeed again after neither the
+     * store nor any peer delivered up-to-date facts, or the store has been restored from an older copy.
      *
      * @param action the action
      */
@@ -162,9 +174,9 @@
     }
 
     /**
-     * Tells whether a snapshot of all facts has been read.
+     * Tells whether a snapshot of all facts has been read, from the store and from another node, if one responds.
      *
-     * @return whether any facts are known
+     * @return whether the facts can be relied on
      */
     public boolean isLoaded() {
         return loaded;
@@ -190,6 +202,9 @@
 
     /** Starts the reads that are due, then schedules the next check. */
     private void runPeriodicCheck() {
+        if (!loaded && facts.position().isKnown()) {
+            loadIfPeersWereAsked();
+        }
         updateStaleness();
         startDueReads();
         timers.schedule(CHECK_INTERVAL, this::runPeriodicCheck);
@@ -206,7 +221,7 @@
         if (watcher || fallback) {
             startRead(storeState, Optional.of(store));
         }
-        if (!watcher || fallback) {
+        if (!watcher || fallback || now - comparePeersUntilNanos < 0) {
             startRead(peerState, currentPeer(now));
         }
     }
@@ -243,18 +258,47 @@
             return;
         }
         state.busy = true;
-        long after = loaded && !state.historyGone ? facts.revision() : 0;
-        source.get().read(after, state.wait).whenComplete((result, error) -> {
+        source.get().read(cursor(state), state.wait).whenComplete((result, error) -> {
             state.busy = false;
-            if (error == null) {
+            Throwable failure = error != null ? error : rejection(state, result).orElse(null);
+            if (failure == null) {
                 onReadSucceeded(state, source.get(), result);
             } else {
-                onReadFailed(state, source.get(), error);
+                onReadFailed(state, source.get(), failure);
             }
             startDueReads();
         });
     }
 
+    private FactCursor cursor(SourceState state) {
+        if (state.historyGone || !facts.position().isKnown()) {
+            return FactCursor.START;
+        }
+        return state.store
+                ? FactCursor.at(facts.position())
+                : new FactCursor(facts.position(), peerCursor.logId(), peerCursor.sequence());
+    }
+
+    /**
+     * Finds out why a result cannot be merged: it was read before the store was restored, or it names only the changes
+     * since then.
+     */
+    private Optional<FactReadException> rejection(SourceState state, FactSource.ReadResult result) {
+        long epoch = result.cursor().position().epoch();
+        if (!facts.position().isKnown()) {
+            return Optional.empty();
+        }
+        if (state.store && epoch < facts.position().epoch()) {
+            return Optional.of(new FactReadException(
+                    FactReadException.Cause.REFUSED, "the response is older than the restored store"));
+        }
+        if (!result.snapshot() && epoch > facts.position().epoch()) {
+            return Optional.of(
+                    new FactReadException(FactReadException.Cause.HISTORY_GONE, "the store has been restored"));
+        }
+        return Optional.empty();
+    }
+
     private void onReadSucceeded(SourceState state, FactSource source, FactSource.ReadResult result) {
         if (state.failures > 0) {
             log.event(Category.LIFECYCLE, "facts_source_regained")
@@ -269,19 +313,24 @@
         if (!pause.isZero()) {
             timers.schedule(pause, this::startDueReads);
         }
+        StorePosition before = facts.position();
         List<FactItem> changes = result.snapshot()
-                ? facts.mergeSnapshot(result.items(), result.revision())
-                : facts.merge(result.items(), result.revision());
+                ? facts.mergeSnapshot(result.items(), result.cursor().position())
+                : facts.merge(result.items(), result.cursor().position());
+        boolean restored = before.isKnown() && facts.position().epoch() > before.epoch();
+        if (restored) {
+            onStoreRestored(source, before);
+        }
+        recordSource(state, result);
         if (!loaded) {
-            log.event(Category.LIFECYCLE, "facts_loaded")
+            log.event(Category.LIFECYCLE, "facts_read")
                     .with("source", source.name())
                     .with("items", result.items().size())
-                    .with("revision", result.revision())
+                    .with("position", result.cursor().position().toString())
                     .with("age_ms", result.age().toMillis())
                     .write();
         }
         Duration maximumAge = loaded && stale ? age() : Duration.ZERO;
-        loaded = true;
         boolean storeWasUnavailable = age().compareTo(STORE_OUTAGE_AFTER) > 0;
         long asOf = timers.nanoTime() - result.age().toNanos();
         if (asOf - factsAsOfNanos > 0) {
@@ -290,14 +339,59 @@
         // This result may already remove upstream records that expired during the outage, so their grace period must
         // start
         // before the listener runs.
-        if (storeWasUnavailable && age().compareTo(STORE_OUTAGE_AFTER) < 0) {
+        if (restored || (storeWasUnavailable && age().compareTo(STORE_OUTAGE_AFTER) < 0)) {
             storeRecovered.run();
         }
+        if (!loaded) {
+            loadIfPeersWereAsked();
+            return;
+        }
         updateStaleness();
         listener.itemsChanged(changes, maximumAge);
         refreshed.run();
     }
 
+    private void recordSource(SourceState state, FactSource.ReadResult result) {
+        if (!state.store) {
+            peerAnswered = true;
+            peerCursor = result.cursor();
+        } else if (storeReadNanos == 0) {
+            storeReadNanos = timers.nanoTime();
+        }
+    }
+
+    /** Other nodes may know what the store lost, so they are read for a while, also by the watcher. */
+    private void onStoreRestored(FactSource source, StorePosition before) {
+        comparePeersUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
+        log.event(Category.BELIEF, "store_restored")
+                .with("source", source.name())
+                .with("before", before.toString())
+                .with("position", facts.position().toString())
+                .with("retained", facts.retained())
+                .write();
+    }
+
+    /** Relies on what was read once another node has responded, or none does. */
+    private void loadIfPeersWereAsked() {
+        boolean asked = peerAnswered
+                || peerState.failures >= MAXIMUM_PEER_FAILURES_AT_START
+                || peers.peer(0).isEmpty()
+                || timers.nanoTime() - storeReadNanos > MAXIMUM_PEER_WAIT_AT_START.toNanos();
+        if (!asked) {
+            return;
+        }
+        loaded = true;
+        comparePeersUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
+        log.event(Category.LIFECYCLE, "facts_loaded")
+                .with("position", facts.position().toString())
+                .with("peer", peerAnswered ? "yes" : "no")
+                .with("age_ms", age().toMillis())
+                .write();
+        updateStaleness();
+        listener.itemsChanged(facts.present(), Duration.ZERO);
+        refreshed.run();
+    }
+
     private static Duration pauseAfter(SourceState state, FactSource.ReadResult result) {
         if (state.failures > 0) {
             return STALE_RESULT_PAUSE;
@@ -346,7 +440,7 @@
                 Duration.ofMillis(random.nextInt(MAXIMUM_JITTER_MILLIS)).toNanos();
         log.event(Category.LIFECYCLE, nowStale ? "facts_stale" : "facts_fresh")
                 .with("age_ms", age().toMillis())
-                .with("revision", facts.revision())
+                .with("position", facts.position().toString())
                 .write();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -26,7 +26,7 @@
  * an outage of the store is kept for {@link #EXPIRED_RECORD_GRACE}, since an upstream that still runs writes it again.
  */
 public final class FleetFacts {
-    /** How long after the store has recovered an expired upstream record may still be written again. */
+    /** How long after the store has recovered an expired or lost upstream record may still be written again. */
     public static final Duration EXPIRED_RECORD_GRACE = Duration.ofSeconds(2);
 
     private static final int VERSIONS_KEPT_PER_MODEL = 8;
@@ -101,7 +101,8 @@
     }
 
     /**
-     * Starts the grace period for expired upstream records. Call it when the store can be read again after an outage.
+     * Starts the grace period for expired and lost upstream records. Call it when the store can be read again after an
+     * outage, or has been restored from an older copy.
      */
     public void storeRecovered() {
         inGrace = true;
--- a/galenahinge/src/main/java/org/galenahinge/http/CompleteResponse.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/CompleteResponse.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
@@ -15,9 +16,11 @@
 
     private final int status;
     private final byte[] body;
+    private final Exchange.Headers headers;
 
-    CompleteResponse(int status, byte[] body) {
+    CompleteResponse(int status, Exchange.Headers headers, byte[] body) {
         this.status = status;
+        this.headers = headers;
         this.body = body;
     }
 
@@ -57,6 +60,16 @@
         return status;
     }
 
+    /**
+     * Finds a header.
+     *
+     * @param name the header name, case-insensitive
+     * @return the first value, or empty when the header is absent
+     */
+    public Optional<String> header(String name) {
+        return headers.find(name);
+    }
+
     /**
      * Returns the body of a response with status 200.
      *
@@ -93,6 +106,7 @@
         private final long maximumBytes;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
+        private Exchange.Headers headers = name -> Optional.empty();
 
         Collector(CompletableFuture<CompleteResponse> result, long maximumBytes) {
             this.result = result;
@@ -100,8 +114,9 @@
         }
 
         @Override
-        public void onHead(int newStatus, Exchange.Headers headers) {
+        public void onHead(int newStatus, Exchange.Headers newHeaders) {
             status = newStatus;
+            headers = newHeaders;
         }
 
         @Override
@@ -116,7 +131,7 @@
 
         @Override
         public void onComplete() {
-            result.complete(new CompleteResponse(status, body.toByteArray()));
+            result.complete(new CompleteResponse(status, headers, body.toByteArray()));
         }
 
         @Override
--- a/galenahinge/src/main/java/org/galenahinge/http/KeepAliveClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/KeepAliveClient.java
@@ -132,6 +132,7 @@
         private final Runnable cancelTimer;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
+        private Exchange.Headers headers = name -> Optional.empty();
 
         Collector(QueuedRequest queued, Runnable cancelTimer) {
             this.queued = queued;
@@ -141,6 +142,7 @@
         @Override
         public void onHead(HttpResponse response) {
             status = response.status().code();
+            headers = name -> Optional.ofNullable(response.headers().get(name));
         }
 
         @Override
@@ -158,7 +160,7 @@
         public void onComplete() {
             cancelTimer.run();
             busy = false;
-            queued.result().complete(new CompleteResponse(status, body.toByteArray()));
+            queued.result().complete(new CompleteResponse(status, headers, body.toByteArray()));
             sendNext();
         }
 
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -14,11 +14,13 @@
 import org.galenahinge.catalog.WeightsOrigin;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.daemon.Incarnation;
+import org.galenahinge.facts.FactCursor;
 import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FactLog;
 import org.galenahinge.facts.FactSource;
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.facts.FleetFacts;
+import org.galenahinge.facts.StorePosition;
 import org.galenahinge.gateway.CallerServer;
 import org.galenahinge.gateway.Gateway;
 import org.galenahinge.gateway.GatewaySettings;
@@ -84,7 +86,7 @@
         this.roster = new EntryRoster(settings.zone(), seed);
         this.membership = new EntryMembership(self, settings.seeds(), roster, timers, log, this::rosterChanged, seed);
         this.facts = FleetFacts.create(platform.decoder(), timers, log);
-        FactLog items = new FactLog();
+        FactLog items = FactLog.create(seed);
         this.synchronizer = FactSynchronizer.create(
                 platform.store(threads), new EntryPeers(), items, this::itemsChanged, timers, log, seed);
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
@@ -317,7 +319,7 @@
         if (query.path().equals("/facts")) {
             relay.read(
                     new FactRelay.ReadRequest(
-                            NodeQuery.number(query, "after"),
+                            readerOf(query),
                             Duration.ofMillis(NodeQuery.number(query, "wait")),
                             NodeQuery.flag(query, "packed")),
                     reply);
@@ -333,6 +335,11 @@
         }
     }
 
+    private static FactCursor readerOf(QueryStringDecoder query) {
+        StorePosition position = new StorePosition(NodeQuery.number(query, "epoch"), NodeQuery.number(query, "after"));
+        return new FactCursor(position, NodeQuery.number(query, "log"), NodeQuery.number(query, "sequence"));
+    }
+
     private final class EntryPeers implements FactSynchronizer.Peers {
         @Override
         public boolean isWatcher() {
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -1,6 +1,5 @@
 package org.galenahinge.node;
 
-import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -8,14 +7,13 @@
 import java.util.function.Supplier;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.concurrent.WaitList;
-import org.galenahinge.facts.FactItem;
+import org.galenahinge.facts.FactCursor;
 import org.galenahinge.facts.FactLog;
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.http.HttpDocument;
-import org.galenahinge.wire.generated.FactEntry;
 import org.galenahinge.wire.generated.FactReading;
 
-/** Serves facts to other nodes, which request the changes after the revision that they have. Not thread-safe. */
+/** Serves facts to other nodes, which request the changes that they do not know. Not thread-safe. */
 final class FactRelay {
     private static final int MAXIMUM_WAITING_REQUESTS = 1_000;
     private static final Duration MAXIMUM_WAIT = Duration.ofSeconds(2);
@@ -41,11 +39,11 @@
     /**
      * A node's request for facts.
      *
-     * @param afterRevision the revision that the node has, 0 for none
+     * @param after how far the node has read
      * @param maximumWait the maximum time to wait for a change; at most 2 seconds are waited
      * @param compressed whether to compress the response, for a low-bandwidth link
      */
-    record ReadRequest(long afterRevision, Duration maximumWait, boolean compressed) {}
+    record ReadRequest(FactCursor after, Duration maximumWait, boolean compressed) {}
 
     /**
      * Responds to a request once there is a change, or once the time up to which these facts are known to be current
@@ -79,7 +77,7 @@
     }
 
     private boolean hasChanges(ReadRequest request) {
-        return request.afterRevision() == 0 || facts.hasChangesAfter(request.afterRevision());
+        return facts.hasChangesAfter(request.after());
     }
 
     private boolean isMoreCurrent(PendingRead pending) {
@@ -93,19 +91,16 @@
     }
 
     private void respond(ReadRequest request, Consumer<HttpDocument> reply) {
-        FactLog.Changes changes = facts.changesAfter(request.afterRevision());
+        FactLog.Changes changes = facts.changesAfter(request.after());
         FactReading.Builder reading = FactReading.newBuilder()
-                .setRevision(changes.revision())
+                .setRevision(changes.cursor().position().revision())
+                .setEpoch(changes.cursor().position().epoch())
+                .setLog(changes.cursor().logId())
+                .setSequence(changes.cursor().sequence())
                 .setWhole(changes.snapshot())
                 .setAgeMillis(synchronizer.age().toMillis())
                 .addAllNodes(nodes.get());
-        for (FactItem item : changes.items()) {
-            reading.addItems(FactEntry.newBuilder()
-                    .setKey(item.key())
-                    .setValue(ByteString.copyFrom(item.value()))
-                    .setRevision(item.revision())
-                    .setRemoved(item.removed()));
-        }
+        changes.items().forEach(item -> reading.addItems(FactItemCodec.encode(item)));
         byte[] bytes = reading.build().toByteArray();
         reply.accept(HttpDocument.bytes(200, request.compressed() ? Compression.compress(bytes) : bytes));
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
@@ -7,15 +7,16 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import org.galenahinge.facts.FactCursor;
 import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FactReadException;
 import org.galenahinge.facts.FactReadException.Cause;
 import org.galenahinge.facts.FactSource;
+import org.galenahinge.facts.StorePosition;
 import org.galenahinge.http.CompleteResponse;
 import org.galenahinge.http.Exchange;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.WireAddress;
-import org.galenahinge.wire.generated.FactEntry;
 import org.galenahinge.wire.generated.FactReading;
 
 /** Reads facts from another entry over HTTP. */
@@ -44,8 +45,10 @@
     }
 
     @Override
-    public CompletionStage<ReadResult> read(long after, Duration wait) {
-        String path = "/facts?after=" + after + "&wait=" + wait.toMillis() + "&packed=" + compressed;
+    public CompletionStage<ReadResult> read(FactCursor after, Duration wait) {
+        String path = "/facts?after=" + after.position().revision() + "&epoch="
+                + after.position().epoch() + "&log=" + after.logId() + "&sequence=" + after.sequence() + "&wait="
+                + wait.toMillis() + "&packed=" + compressed;
         return CompleteResponse.fetch(
                         threads,
                         address.toHttpUri(),
@@ -70,17 +73,14 @@
             FactReading reading = FactReading.parseFrom(compressed ? Compression.decompress(bytes) : bytes);
             onNodes.accept(reading.getNodesList());
             List<FactItem> items =
-                    reading.getItemsList().stream().map(PeerFactClient::item).toList();
-            return new ReadResult(
-                    items, reading.getWhole(), reading.getRevision(), Duration.ofMillis(reading.getAgeMillis()));
+                    reading.getItemsList().stream().map(FactItemCodec::decode).toList();
+            FactCursor cursor = new FactCursor(
+                    new StorePosition(reading.getEpoch(), reading.getRevision()),
+                    reading.getLog(),
+                    reading.getSequence());
+            return new ReadResult(items, reading.getWhole(), cursor, Duration.ofMillis(reading.getAgeMillis()));
         } catch (IOException e) {
             throw new CompletionException(new FactReadException(Cause.MALFORMED, String.valueOf(e.getMessage())));
         }
     }
-
-    private static FactItem item(FactEntry entry) {
-        return entry.getRemoved()
-                ? FactItem.removed(entry.getKey(), entry.getRevision())
-                : FactItem.written(entry.getKey(), entry.getValue().toByteArray(), entry.getRevision());
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerSelector.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerSelector.java
@@ -23,7 +23,7 @@
             return known.map(entry -> new Peer(entry.nodes(), !entry.zone().equals(settings.zone())));
         }
         List<WireAddress> seeds = settings.seeds().stream()
-                .filter(seed -> !seed.host().equals(settings.address()))
+                .filter(seed -> !settings.peerAddress().equals(Optional.of(seed)))
                 .toList();
         if (seeds.isEmpty()) {
             return Optional.empty();
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
@@ -12,75 +12,171 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FactLogTest {
+    private static final long LIFE = 7;
+    private static final FactRank IN_USE = FactRank.ofLife(LIFE, 0);
+    private static final FactRank LEAVING = FactRank.ofLife(LIFE, 1);
+
+    private final FactLog log = FactLog.create(1);
+
     @Property(tries = 200, seed = "4711")
     void mergesReorderedRepeatedAndLostChangesToTheSameItems(@ForAll long seed) {
         Random random = new Random(seed);
         List<FactItem> changes = new ArrayList<>();
         for (long revision = 1; revision <= 60; revision++) {
             String key = "k" + random.nextInt(8);
-            changes.add(random.nextInt(4) == 0 ? FactItem.removed(key, revision) : item(key, revision));
+            changes.add(random.nextInt(4) == 0 ? removed(key, revision) : item(key, revision));
         }
-        FactLog ordered = new FactLog();
-        ordered.merge(changes, 60);
-        FactLog shuffled = new FactLog();
+        FactLog ordered = FactLog.create(1);
+        ordered.merge(changes, at(60));
+        FactLog shuffled = FactLog.create(2);
         for (int round = 0; round < 3; round++) {
             Collections.shuffle(changes, random);
-            shuffled.merge(changes.subList(0, 30 + random.nextInt(30)), 0);
+            shuffled.merge(changes.subList(0, 30 + random.nextInt(30)), StorePosition.NONE);
         }
-        shuffled.merge(changes, 60);
+        shuffled.merge(changes, at(60));
         assertThat(presentItems(shuffled)).isEqualTo(presentItems(ordered));
     }
 
     @Test
     void aSnapshotRemovesItemsThatItLacksExceptNewerOnes() {
-        FactLog log = new FactLog();
-        log.merge(List.of(item("old", 5), item("new", 12)), 12);
-        log.mergeSnapshot(List.of(item("other", 3)), 10);
+        log.merge(List.of(item("old", 5), item("new", 12)), at(12));
+        log.mergeSnapshot(List.of(item("other", 3)), at(10));
         assertThat(presentItems(log)).containsExactlyInAnyOrder(item("other", 3), item("new", 12));
     }
 
     @Test
     void anOlderCopyDoesNotRestoreARemovedItem() {
-        FactLog log = new FactLog();
-        log.merge(List.of(item("key", 5)), 5);
-        log.merge(List.of(FactItem.removed("key", 9)), 9);
-        assertThat(log.merge(List.of(item("key", 5)), 5)).isEmpty();
+        log.merge(List.of(item("key", 5)), at(5));
+        log.merge(List.of(removed("key", 9)), at(9));
+        assertThat(log.merge(List.of(item("key", 5)), at(5))).isEmpty();
         assertThat(presentItems(log)).isEmpty();
     }
 
-    /** Many readers wait at a relay and each is asked after each read of the store. */
+    /** A reader that knows some changes of this log gets exactly the others, and is told at once if there are any. */
     @Property(tries = 200, seed = "4711")
-    void tellsAtAnyRevisionWhetherThereAreChanges(@ForAll long seed) {
+    void tellsAReaderExactlyWhatItDoesNotKnow(@ForAll long seed) {
         Random random = new Random(seed);
-        FactLog log = new FactLog();
+        FactLog relay = FactLog.create(3);
+        List<FactCursor> cursors = new ArrayList<>();
         for (long revision = 1; revision <= 40; revision++) {
+            cursors.add(relay.changesAfter(FactCursor.START).cursor());
             String key = "k" + random.nextInt(4);
-            FactItem change = random.nextBoolean() ? FactItem.removed(key, revision) : item(key, revision);
-            log.merge(random.nextInt(3) == 0 ? List.of() : List.of(change), revision);
-            for (long after = 0; after <= revision; after++) {
-                assertThat(log.hasChangesAfter(after))
-                        .isEqualTo(!log.changesAfter(after).items().isEmpty());
+            FactItem change = random.nextBoolean() ? removed(key, revision) : item(key, revision);
+            relay.merge(random.nextInt(3) == 0 ? List.of() : List.of(change), at(revision));
+            for (FactCursor reader : cursors) {
+                FactLog.Changes changes = relay.changesAfter(reader);
+                assertThat(relay.hasChangesAfter(reader))
+                        .isEqualTo(!changes.items().isEmpty());
+                assertThat(changes.items())
+                        .allMatch(item -> item.revision() > reader.position().revision());
             }
         }
     }
 
     @Test
     void returnsASnapshotIfRemovalsMayHaveBeenDropped() {
-        FactLog log = new FactLog();
         for (int number = 0; number < FactLog.MAXIMUM_REMOVALS + 10; number++) {
-            log.merge(List.of(FactItem.removed("k" + number, number + 1)), number + 1);
+            log.merge(List.of(removed("k" + number, number + 1)), at(number + 1));
         }
-        assertThat(log.changesAfter(3).snapshot()).isTrue();
-        assertThat(log.changesAfter(FactLog.MAXIMUM_REMOVALS).snapshot()).isFalse();
+        assertThat(log.changesAfter(FactCursor.at(at(3))).snapshot()).isTrue();
+        assertThat(log.changesAfter(FactCursor.at(at(FactLog.MAXIMUM_REMOVALS))).snapshot())
+                .isFalse();
+        assertThat(log.changesAfter(new FactCursor(at(3), 1, 3)).snapshot()).isTrue();
+        assertThat(log.changesAfter(new FactCursor(at(3), 1, FactLog.MAXIMUM_REMOVALS))
+                        .snapshot())
+                .isFalse();
+    }
+
+    /** Guards against changes that are lost because their revisions were given out before the store was restored. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 14, 15})
+    void takesAChangeUnderARevisionThatWasGivenOutBefore(long revision) {
+        log.merge(List.of(item("key", 10), item("lost", 14)), at(14));
+        log.mergeSnapshot(List.of(item("key", 10, 2)), new StorePosition(2, 10));
+        log.merge(List.of(item("key", revision, 2)), new StorePosition(2, revision));
+        assertThat(log.present()).containsExactly(item("key", revision, 2));
+        assertThat(log.position()).isEqualTo(new StorePosition(2, revision));
+    }
+
+    /** Guards against a version that goes back because an older copy was read, from the store or from another node. */
+    @Test
+    void keepsAVersionThatTheRestoredStoreLacks() {
+        log.merge(List.of(version(4, 9, 1)), at(9));
+        log.merge(List.of(version(8, 14, 1)), at(14));
+        assertThat(log.mergeSnapshot(List.of(version(4, 9, 2)), new StorePosition(2, 11)))
+                .isEmpty();
+        FactLog started = FactLog.create(2);
+        started.mergeSnapshot(List.of(version(4, 9, 2)), new StorePosition(2, 11));
+        FactLog.Changes told = log.changesAfter(FactCursor.at(started.position()));
+        assertThat(told.snapshot()).isFalse();
+        started.merge(told.items(), told.cursor().position());
+        assertThat(started.present()).isEqualTo(log.present());
+        assertThat(log.retained()).isOne();
+        log.merge(List.of(version(8, 12, 2)), new StorePosition(2, 12));
+        assertThat(log.retained()).isZero();
+    }
+
+    /** Guards against requests to an upstream that leaves, whose record the store holds as it was before. */
+    @Test
+    void keepsWhatAnUpstreamSaidOfItselfLast() {
+        log.merge(List.of(item("up", 9).withRank(IN_USE)), at(9));
+        log.merge(List.of(item("up", 12).withRank(LEAVING)), at(12));
+        assertThat(log.mergeSnapshot(List.of(item("up", 9, 2).withRank(IN_USE)), new StorePosition(2, 11)))
+                .isEmpty();
+        assertThat(log.present().get(0).rank()).contains(LEAVING);
+        FactLog other = FactLog.create(2);
+        other.mergeSnapshot(List.of(item("up", 9, 2).withRank(IN_USE)), new StorePosition(2, 11));
+        other.merge(log.changesAfter(FactCursor.at(other.position())).items(), new StorePosition(2, 11));
+        assertThat(other.present().get(0).rank()).contains(LEAVING);
+    }
+
+    @Test
+    void keepsTheRemovalOfWhatTheRestoredStoreHoldsAgain() {
+        log.merge(List.of(item("up", 9)), at(9));
+        log.merge(List.of(removed("up", 12)), at(12));
+        log.mergeSnapshot(List.of(item("up", 9, 2)), new StorePosition(2, 11));
+        assertThat(log.present()).isEmpty();
+        log.merge(List.of(item("up", 12, 2)), new StorePosition(2, 12));
+        assertThat(log.present()).containsExactly(item("up", 12, 2));
+    }
+
+    /** A late answer of a node that has not heard of the loss does not bring back what nobody has written again. */
+    @Test
+    void doesNotBringBackWhatTheRestoredStoreLacks() {
+        log.merge(List.of(item("other", 8)), at(8));
+        log.mergeSnapshot(List.of(item("other", 8, 2)), new StorePosition(2, 11));
+        log.merge(List.of(item("lost", 12)), at(12));
+        assertThat(log.present()).containsExactly(item("other", 8, 2));
+    }
+
+    private static Set<FactItem> presentItems(FactLog items) {
+        return new HashSet<>(items.present());
     }
 
-    private static Set<FactItem> presentItems(FactLog log) {
-        return new HashSet<>(log.changesAfter(0).items());
+    private static StorePosition at(long revision) {
+        return new StorePosition(1, revision);
+    }
+
+    private static FactItem removed(String key, long revision) {
+        return FactItem.removed(key, at(revision));
     }
 
     private static FactItem item(String key, long revision) {
-        return FactItem.written(key, (key + revision).getBytes(StandardCharsets.UTF_8), revision);
+        return item(key, revision, 1);
+    }
+
+    private static FactItem item(String key, long revision, long epoch) {
+        return FactItem.written(
+                key, (key + revision).getBytes(StandardCharsets.UTF_8), new StorePosition(epoch, revision));
+    }
+
+    private static FactItem version(long number, long revision, long epoch) {
+        byte[] value = Long.toString(number).getBytes(StandardCharsets.UTF_8);
+        return FactItem.written("version", value, new StorePosition(epoch, revision))
+                .withRank(FactRank.ofVersion(number));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FactSynchronizerTest {
     private final ManualTimers timers = new ManualTimers();
@@ -30,7 +31,7 @@
     private final FactSynchronizer synchronizer = FactSynchronizer.create(
             store,
             new Peers(),
-            new FactLog(),
+            FactLog.create(1),
             (items, maximumAge) -> {
                 changedItems.addAll(items);
                 maximumAges.add(maximumAge);
@@ -111,6 +112,78 @@
         assertThat(recoveries).isEqualTo(1);
     }
 
+    /**
+     * Guards against a node that starts while the store holds an older copy of itself, and believes it although another
+     * node knows better.
+     */
+    @Test
+    void asksAPeerBeforeItReliesOnTheStoreAtStart() {
+        store.delay = Duration.ofMillis(5);
+        peer.delay = Duration.ofMillis(300);
+        synchronizer.start();
+        timers.advance(Duration.ofMillis(200));
+        assertThat(synchronizer.isLoaded()).isFalse();
+        timers.advance(Duration.ofMillis(200));
+        assertThat(synchronizer.isLoaded()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void reliesOnTheStoreIfNoPeerResponds(boolean silent) {
+        peer.unresponsive = silent;
+        peer.failure = silent ? Optional.empty() : Optional.of(Cause.REFUSED);
+        synchronizer.start();
+        timers.advance(Duration.ofMillis(900));
+        assertThat(synchronizer.isLoaded()).isTrue();
+    }
+
+    /** Guards against dropping at once all records that the store lost: those that still run write theirs again. */
+    @Test
+    void reportsAStoreThatWasRestoredAsRecovered() {
+        watcher = true;
+        peerKnown = false;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(1));
+        store.publish("lost");
+        timers.advance(Duration.ofSeconds(1));
+        store.restore();
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(recoveries).isEqualTo(1);
+        assertThat(changedItems.get(changedItems.size() - 1).removed()).isTrue();
+        store.publish("lost");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(changedItems.get(changedItems.size() - 1).removed()).isFalse();
+    }
+
+    /** Guards against a response that was delayed until after the store had been restored. */
+    @Test
+    void ignoresAResponseFromBeforeTheStoreWasRestored() {
+        watcher = true;
+        peerKnown = false;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(1));
+        store.restore();
+        timers.advance(Duration.ofSeconds(2));
+        store.epoch--;
+        store.publish("older");
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(changedItems).extracting(FactItem::key).doesNotContain("older");
+    }
+
+    /** Guards against a watcher that never learns what only other nodes still know after the store was restored. */
+    @Test
+    void theWatcherReadsAPeerAfterTheStoreWasRestored() {
+        watcher = true;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(8));
+        int before = peer.reads;
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(peer.reads).isEqualTo(before);
+        store.restore();
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(peer.reads).isGreaterThan(before);
+    }
+
     @ParameterizedTest
     @EnumSource(Cause.class)
     void retriesWithBackoffAfterEveryKindOfFailure(Cause cause) {
@@ -152,6 +225,8 @@
         private Optional<Cause> failure = Optional.empty();
         private boolean unresponsive;
         private Duration age = Duration.ZERO;
+        private Duration delay = Duration.ofMillis(5);
+        private long epoch = 1;
         private long revision = 1;
         private int reads;
 
@@ -160,11 +235,18 @@
         }
 
         void publish(String key) {
-            items.add(FactItem.written(key, new byte[0], ++revision));
+            items.add(FactItem.written(key, new byte[0], new StorePosition(epoch, ++revision)));
+        }
+
+        /** Goes back to the empty store that it was at the start. */
+        void restore() {
+            epoch++;
+            revision = 1;
+            items.clear();
         }
 
         @Override
-        public CompletionStage<ReadResult> read(long after, Duration wait) {
+        public CompletionStage<ReadResult> read(FactCursor after, Duration wait) {
             reads++;
             CompletableFuture<ReadResult> result = new CompletableFuture<>();
             if (failure.isPresent()) {
@@ -179,12 +261,16 @@
                         () -> result.completeExceptionally(new FactReadException(Cause.SILENT, "no response")));
                 return result;
             }
-            List<FactItem> changes =
-                    items.stream().filter(item -> item.revision() > after).toList();
-            boolean respondAtOnce = after == 0 || !changes.isEmpty();
+            boolean snapshot = !after.position().isKnown() || after.position().epoch() != epoch;
+            List<FactItem> changes = items.stream()
+                    .filter(item ->
+                            snapshot || item.revision() > after.position().revision())
+                    .toList();
+            FactCursor cursor = FactCursor.at(new StorePosition(epoch, revision));
+            boolean respondAtOnce = snapshot || !changes.isEmpty();
             timers.schedule(
-                    respondAtOnce ? Duration.ofMillis(5) : wait,
-                    () -> result.complete(new ReadResult(changes, after == 0, revision, age)));
+                    respondAtOnce ? delay : wait,
+                    () -> result.complete(new ReadResult(changes, snapshot, cursor, age)));
             return result;
         }
 
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -41,7 +41,7 @@
     void keepsARecordThatExpiredDuringAStoreOutageForTheGracePeriod() {
         facts.apply(List.of(item("up a", 1)));
         facts.storeRecovered();
-        facts.apply(List.of(FactItem.removed("up a", 2)));
+        facts.apply(List.of(FactItem.removed("up a", new StorePosition(1, 2))));
         assertThat(facts.find("a")).isPresent();
         timers.advance(Duration.ofMillis(1_900));
         assertThat(facts.find("a")).isPresent();
@@ -53,7 +53,7 @@
     void keepsARecordThatIsWrittenAgainWithinTheGracePeriod() {
         facts.apply(List.of(item("up a", 1)));
         facts.storeRecovered();
-        facts.apply(List.of(FactItem.removed("up a", 2)));
+        facts.apply(List.of(FactItem.removed("up a", new StorePosition(1, 2))));
         timers.advance(Duration.ofMillis(800));
         facts.apply(List.of(item("up a", 3)));
         timers.advance(Duration.ofSeconds(3));
@@ -63,7 +63,7 @@
     @Test
     void removesARecordAtOnceWithoutAStoreOutage() {
         facts.apply(List.of(item("up a", 1)));
-        facts.apply(List.of(FactItem.removed("up a", 2)));
+        facts.apply(List.of(FactItem.removed("up a", new StorePosition(1, 2))));
         assertThat(facts.find("a")).isEmpty();
     }
 
@@ -108,7 +108,7 @@
     }
 
     private static FactItem item(String key, long revision) {
-        return FactItem.written(key, new byte[0], revision);
+        return FactItem.written(key, new byte[0], new StorePosition(1, revision));
     }
 
     private static Fact decode(FactItem item) {
