--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
@@ -38,6 +38,9 @@
     private volatile long weightsVersion;
     private volatile Fault fault = Fault.NONE;
     private volatile Optional<String> crashingPart = Optional.empty();
+    private volatile Optional<String> crashingBody = Optional.empty();
+    private volatile CrashPoint crashPoint = CrashPoint.BEFORE_RESPONSE;
+    private final AtomicInteger crashingRequests = new AtomicInteger();
     private volatile boolean crashed;
     private volatile Optional<Double> requestLimit = Optional.empty();
     private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
@@ -64,6 +67,14 @@
         ENDLESS_FAILURE
     }
 
+    /** When an upstream crashes on a request. */
+    public enum CrashPoint {
+        /** Before the first byte of the response. */
+        BEFORE_RESPONSE,
+        /** After the head of the response and, in a stream, some events. */
+        WITHIN_RESPONSE
+    }
+
     /**
      * Starts an upstream on a free loopback port.
      *
@@ -120,6 +131,26 @@
         crashingPart = Optional.of(part);
     }
 
+    /**
+     * Makes it crash on each request with a body: it closes its connections and accepts no others.
+     *
+     * @param body the body, compared as a whole
+     * @param point when it crashes
+     */
+    public void crashOnBody(String body, CrashPoint point) {
+        crashPoint = point;
+        crashingBody = Optional.of(body);
+    }
+
+    /**
+     * Returns how many requests it received whose body makes it crash.
+     *
+     * @return the number of requests
+     */
+    public int crashingRequests() {
+        return crashingRequests.get();
+    }
+
     /**
      * Makes it name, in each response from now on, how many requests a second it accepts. It runs those above it all the
      * same.
@@ -239,7 +270,7 @@
         arrivalNanos.add(System.nanoTime());
         recordHeaders(exchange);
         requestLimit.ifPresent(limit -> exchange.getResponseHeaders().set("Server-Limit", Double.toString(limit)));
-        exchange.getRequestBody().readAllBytes();
+        String requestBody = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         String requestId = exchange.getRequestHeaders().getFirst("Attempt-Id");
         if (fault == Fault.SHED) {
             exchange.getResponseHeaders().set("Not-Executed", "1");
@@ -252,6 +283,10 @@
         }
         exchange.getResponseHeaders().set("Attempt-Id", fault == Fault.CROSS_ANSWER ? "another" : requestId);
         exchange.getResponseHeaders().set("Server-Seal", "seal-" + id);
+        if (crashingBody.filter(requestBody::equals).isPresent()) {
+            crashingRequests.incrementAndGet();
+            crash(exchange);
+        }
         if (fault == Fault.FALSE_REFUSAL || fault == Fault.FAIL) {
             StandInServer.respond(exchange, fault == Fault.FAIL ? 500 : 503, "failed".getBytes(StandardCharsets.UTF_8));
             return;
@@ -267,6 +302,22 @@
         StandInServer.respond(exchange, 200, ("answer of " + id).getBytes(StandardCharsets.UTF_8));
     }
 
+    private void crash(HttpExchange exchange) throws IOException {
+        if (crashPoint == CrashPoint.WITHIN_RESPONSE) {
+            boolean streams = exchange.getRequestURI().getPath().contains("/stream");
+            if (streams) {
+                exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+            }
+            exchange.sendResponseHeaders(200, 0);
+            String part = streams ? "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda" : "part of";
+            exchange.getResponseBody().write(part.getBytes(StandardCharsets.UTF_8));
+            exchange.getResponseBody().flush();
+        }
+        crashed = true;
+        server.close();
+        throw new IOException("crashed");
+    }
+
     private static void failEndlessly(HttpExchange exchange) throws IOException {
         exchange.sendResponseHeaders(500, 0);
         byte[] part = new byte[ENDLESS_BODY_PART_BYTES];
