Keep requests that crash upstreams away from all upstreams, of any kind and at any point of the response

Cause: crashes were recorded for parts of prompts only, and the first event of a stream was proof that its request was sound. A request without parts, or one that crashes later, left no evidence.

Ruled out: overload (the first server ended with one request there).

Change: a request has traits: the parts of its prompt, and itself as a whole (a hash of method, host, path, organisation and body). An upstream that refuses a connection after one was lost has crashed on one of the traits that were there: parts of requests without an event, and requests without a complete response. Only a complete response clears a request; one that ends with its connection does not, since a crash looks the same. A request that explains three crashes is a cause by itself and explains the parts that were hardly anywhere else; parts are judged as before. Each kind has its own bounds: 64 suspects a crash, 1,024 traits that were served, so that no memory grows with requests. engine_crashed in the logs is now upstream_crashed, with traits.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -20,6 +20,7 @@
 import org.galenahinge.http.HttpConnection;
 import org.galenahinge.placement.PlacementCandidate;
 import org.galenahinge.placement.RetryPolicy.Outcome;
+import org.galenahinge.quarantine.RequestTrait;
 import org.galenahinge.upstream.UpstreamPool;
 
 /** One attempt to run a request at one upstream. Used by the gateway's thread only. */
@@ -163,6 +164,7 @@
         }
         releaseConnection();
         if (forwardingBody) {
+            recordComplete();
             complete(true);
             request.response().finish();
             request.attemptAnswered(this, status);
@@ -308,7 +310,7 @@
         }
         lastProgressNanos = now();
         if (events == 0) {
-            recordServed();
+            recordFirstEvent();
         }
         events++;
         candidate.load().recordFirstEvent(this);
@@ -328,6 +330,7 @@
             return;
         }
         releaseConnection();
+        recordComplete();
         complete(true);
         writeHead();
         request.response().finish();
@@ -341,6 +344,7 @@
             return;
         }
         candidate.load().recordEnd(this, !isFailure(), now());
+        recordComplete();
         if (!isFailure()) {
             forwardBuffered();
             return;
@@ -359,31 +363,37 @@
 
     private void forwardBuffered() {
         if (isSuccess()) {
-            recordServed();
+            recordFirstEvent();
         }
         complete(true);
         request.response().writeComplete(status, headers, buffered);
         request.attemptAnswered(this, status);
     }
 
-    private void recordServed() {
+    /** The parts of a prompt crash an engine before the first event, or not at all. */
+    private void recordFirstEvent() {
         request.gateway()
                 .crashLedger()
                 .recordServed(request.callerRequest().metadata().sharedParts(), now());
     }
 
-    /** An attempt that has brought an event did not crash the engine: it would have done so before. */
-    private void recordLostConnection() {
-        if (events == 0) {
-            request.gateway()
-                    .crashDetector()
-                    .connectionLost(
-                            candidate.upstream(),
-                            pool,
-                            request.callerRequest().metadata().sharedParts());
+    /** A response that ends with its connection looks complete also where its upstream crashed. */
+    private void recordComplete() {
+        if (endsWithConnection) {
+            recordLostConnection(List.of(request.identity()));
+        } else {
+            request.gateway().crashLedger().recordServed(List.of(request.identity()), now());
         }
     }
 
+    private void recordLostConnection() {
+        recordLostConnection(events == 0 ? request.traits() : List.of(request.identity()));
+    }
+
+    private void recordLostConnection(List<RequestTrait> traits) {
+        request.gateway().crashDetector().connectionLost(candidate.upstream(), pool, traits);
+    }
+
     private void abort(String detail) {
         connection.ifPresent(HttpConnection::close);
         connection = Optional.empty();
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
@@ -14,13 +14,13 @@
 import org.galenahinge.quarantine.Crash;
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
-import org.galenahinge.quarantine.PromptPart;
+import org.galenahinge.quarantine.RequestTrait;
 import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.UpstreamPool;
 
 /**
- * Finds out whether an engine has crashed after a connection to it was lost before the first event: it has if it accepts no
- * new connection. Records the parts of the prompts that were there. Used by the gateway's thread only.
+ * Finds out whether an upstream has crashed after a connection to it was lost: it has if it accepts no new connection.
+ * Records the traits of the requests that were there. Used by the gateway's thread only.
  */
 final class CrashDetector {
     /** The connections of one crash are lost one after the other within this time. */
@@ -39,11 +39,11 @@
         this.log = Objects.requireNonNull(log, "log");
     }
 
-    /** The requests that lost their connection to one incarnation of an engine. */
+    /** The requests that lost their connection to one incarnation of an upstream. */
     private static final class Watch {
         private final Upstream upstream;
         private final long startedNanos;
-        private final Set<PromptPart> parts = new LinkedHashSet<>();
+        private final Set<RequestTrait> traits = new LinkedHashSet<>();
         private boolean crashed;
 
         Watch(Upstream upstream, long startedNanos) {
@@ -53,16 +53,16 @@
     }
 
     /**
-     * Records that the connection of a request was lost before its first event.
+     * Records that a request has lost its connection.
      *
-     * @param upstream the engine
-     * @param pool the connections to the engine
-     * @param parts the parts of the prompt
+     * @param upstream the upstream
+     * @param pool the connections to it
+     * @param traits the traits of the request that may have crashed it
      */
-    void connectionLost(Upstream upstream, UpstreamPool pool, List<PromptPart> parts) {
+    void connectionLost(Upstream upstream, UpstreamPool pool, List<RequestTrait> traits) {
         long now = timers.nanoTime();
         watches.values().removeIf(watch -> now - watch.startedNanos >= WATCH_TIME.toNanos());
-        if (parts.isEmpty() || (!watches.containsKey(upstream.id()) && watches.size() >= MAXIMUM_WATCHED)) {
+        if (traits.isEmpty() || (!watches.containsKey(upstream.id()) && watches.size() >= MAXIMUM_WATCHED)) {
             return;
         }
         Watch watch = watches.get(upstream.id());
@@ -71,7 +71,7 @@
             watches.put(upstream.id(), watch);
             probe(watch, pool);
         }
-        watch.parts.addAll(parts);
+        watch.traits.addAll(traits);
         if (watch.crashed) {
             record(watch);
         }
@@ -96,10 +96,10 @@
     private void record(Watch watch) {
         long now = timers.nanoTime();
         Duration age = Duration.ofNanos(now - watch.startedNanos);
-        log.event(Category.BELIEF, "engine_crashed")
+        log.event(Category.BELIEF, "upstream_crashed")
                 .with("upstream", watch.upstream.id())
-                .with("parts", PromptPart.join(watch.parts))
+                .with("traits", RequestTrait.join(watch.traits))
                 .write();
-        ledger.add(new AgedCrash(new Crash(watch.upstream.incarnationKey(), watch.parts, Set.of()), age), now);
+        ledger.add(new AgedCrash(new Crash(watch.upstream.incarnationKey(), watch.traits, Set.of()), age), now);
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -23,6 +23,7 @@
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.RetryPolicy.Progress;
 import org.galenahinge.quarantine.CrashLedger;
+import org.galenahinge.quarantine.RequestTrait;
 import org.galenahinge.upstream.UpstreamPool;
 
 /**
@@ -50,6 +51,7 @@
     private final Set<String> triedUpstreams = new HashSet<>();
     private AdmittedRequest admitted;
     private ServiceQueue queue;
+    private List<RequestTrait> traits = List.of();
     private RequestDeadlines deadlines;
     private Optional<Timer> timeoutTimer = Optional.empty();
     private Optional<Attempt> currentAttempt = Optional.empty();
@@ -85,6 +87,7 @@
         }
         admitted = ((RequestChecks.Result.Admitted) result).request();
         requestLog.setAdmitted(admitted);
+        traits = RequestTraits.of(request, admitted);
         queue = gateway.serviceQueue(admitted.service());
         queue.retryBudget().recordRequest(gateway.timers().nanoTime());
         deadlines = RequestDeadlines.of(request, admitted.route());
@@ -180,6 +183,16 @@
         lastEventId = Optional.of(eventId);
     }
 
+    /** Returns what may make this request crash upstreams: the parts of its prompt, and the request as a whole. */
+    List<RequestTrait> traits() {
+        return traits;
+    }
+
+    /** Returns the request as a whole, which is the same trait for each repetition by its caller. */
+    RequestTrait identity() {
+        return traits.get(traits.size() - 1);
+    }
+
     Duration remainingTime() {
         return deadlines.remaining(gateway.timers().nanoTime());
     }
@@ -206,7 +219,7 @@
         Next next = RetryPolicy.decide(progress(), outcome);
         mayHaveRun |= outcome == Outcome.UNKNOWN || outcome == Outcome.FAILED;
         long budgetLeft = (long) queue.retryBudget().remaining(gateway.nodes());
-        requestLog.attemptFailed(done, outcome, detail, next, attempts, budgetLeft);
+        requestLog.attemptFailed(done, outcome, detail, next, identity(), attempts, budgetLeft);
         switch (next) {
             case SEND_AGAIN -> place();
             case REFUSE ->
@@ -389,14 +402,14 @@
         if (onTrial) {
             return false;
         }
-        CrashLedger.Decision decision = gateway.crashLedger()
-                .decide(request.metadata().sharedParts(), gateway.timers().nanoTime());
+        CrashLedger.Decision decision =
+                gateway.crashLedger().decide(traits(), gateway.timers().nanoTime());
         onTrial = decision == CrashLedger.Decision.TRIAL;
         return decision == CrashLedger.Decision.QUARANTINED;
     }
 
     private void rejectQuarantined() {
-        String detail = "the prompt contains a part that crashes engines";
+        String detail = "the request, or a part of its prompt, crashes upstreams";
         reject(
                 mayHaveRun
                         ? outcomeUnknown(detail)
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
@@ -10,7 +10,7 @@
 import org.galenahinge.placement.RetryPolicy.Next;
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.UpstreamLoad;
-import org.galenahinge.quarantine.PromptPart;
+import org.galenahinge.quarantine.RequestTrait;
 
 /** Writes the log lines on the path of one request. Used by the gateway's thread only. */
 final class RequestLog {
@@ -56,7 +56,14 @@
                 .write();
     }
 
-    void attemptFailed(Attempt done, Outcome outcome, String detail, Next next, int attempts, long budgetLeft) {
+    void attemptFailed(
+            Attempt done,
+            Outcome outcome,
+            String detail,
+            Next next,
+            RequestTrait identity,
+            int attempts,
+            long budgetLeft) {
         line(Category.FAILURE, "attempt_failed")
                 .with("upstream", done.upstreamId())
                 .with("outcome", outcome.name())
@@ -66,6 +73,7 @@
                 .with("after_ms", done.ageMillis())
                 .with("events", done.events())
                 .with("parts", parts())
+                .with("identity", identity.toString())
                 .with("budget_left", budgetLeft)
                 .write();
     }
@@ -88,7 +96,7 @@
     }
 
     private String parts() {
-        return PromptPart.join(request.metadata().sharedParts());
+        return RequestTrait.join(request.metadata().sharedParts());
     }
 
     private static String text(OptionalDouble number) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestMetadata.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestMetadata.java
@@ -5,7 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.galenahinge.placement.PromptShape;
-import org.galenahinge.quarantine.PromptPart;
+import org.galenahinge.quarantine.RequestTrait;
 
 /**
  * The metadata in the headers of a request.
@@ -21,7 +21,7 @@
         Optional<Duration> remainingTime,
         Optional<String> apiKey,
         Optional<PromptShape> prompt,
-        List<PromptPart> sharedParts) {
+        List<RequestTrait> sharedParts) {
     public RequestMetadata {
         Objects.requireNonNull(requestId, "requestId");
         Objects.requireNonNull(remainingTime, "remainingTime");
--- a/galenahinge/src/main/java/org/galenahinge/node/CrashGossip.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/CrashGossip.java
@@ -6,20 +6,22 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.quarantine.Crash;
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
-import org.galenahinge.quarantine.PromptPart;
+import org.galenahinge.quarantine.RequestTrait;
+import org.galenahinge.quarantine.RequestTrait.Kind;
 import org.galenahinge.wire.generated.CrashRecord;
 import org.galenahinge.wire.generated.GossipRecord;
 
-/** Exchanges the crashes of engines among the entries, so that all of them decide by the same ones. Not thread-safe. */
+/** Exchanges the crashes of upstreams among the entries, so that all of them decide by the same ones. Not thread-safe. */
 final class CrashGossip implements GossipSource {
     private final CrashLedger ledger;
     private final EventLog log;
-    private List<Set<PromptPart>> quarantined = List.of();
+    private List<Set<RequestTrait>> quarantined = List.of();
 
     CrashGossip(CrashLedger ledger, EventLog log) {
         this.ledger = Objects.requireNonNull(ledger, "ledger");
@@ -48,8 +50,10 @@
             return;
         }
         CrashRecord encoded = gossiped.getCrash();
-        Crash crash =
-                new Crash(encoded.getUpstream(), parts(encoded.getSuspectsList()), parts(encoded.getClearedList()));
+        Crash crash = new Crash(
+                encoded.getUpstream(),
+                traits(encoded.getSuspectsList(), encoded.getSuspectRequestsList()),
+                traits(encoded.getClearedList(), encoded.getClearedRequestsList()));
         ledger.add(new AgedCrash(crash, Duration.ofMillis(encoded.getAgeMillis())), nowNanos);
     }
 
@@ -57,22 +61,30 @@
         CrashRecord crash = CrashRecord.newBuilder()
                 .setUpstream(aged.crash().upstream())
                 .setAgeMillis(aged.age().toMillis())
-                .addAllSuspects(ids(aged.crash().suspects()))
-                .addAllCleared(ids(aged.crash().cleared()))
+                .addAllSuspects(ids(aged.crash().suspects(), Kind.PROMPT_PART))
+                .addAllCleared(ids(aged.crash().cleared(), Kind.PROMPT_PART))
+                .addAllSuspectRequests(ids(aged.crash().suspects(), Kind.WHOLE_REQUEST))
+                .addAllClearedRequests(ids(aged.crash().cleared(), Kind.WHOLE_REQUEST))
                 .build();
         return GossipRecord.newBuilder().setCrash(crash).build();
     }
 
-    private static List<Long> ids(Set<PromptPart> parts) {
-        return parts.stream().map(PromptPart::id).toList();
+    private static List<Long> ids(Set<RequestTrait> traits, Kind kind) {
+        return traits.stream()
+                .filter(trait -> trait.kind() == kind)
+                .map(RequestTrait::id)
+                .toList();
     }
 
-    private static Set<PromptPart> parts(Collection<Long> ids) {
-        return ids.stream().map(PromptPart::new).collect(Collectors.toSet());
+    private static Set<RequestTrait> traits(Collection<Long> parts, Collection<Long> requests) {
+        return Stream.concat(
+                        parts.stream().map(RequestTrait::ofPart),
+                        requests.stream().map(RequestTrait::ofRequest))
+                .collect(Collectors.toSet());
     }
 
     private void logQuarantine(long nowNanos) {
-        List<Set<PromptPart>> current = ledger.quarantined(nowNanos);
+        List<Set<RequestTrait>> current = ledger.quarantined(nowNanos);
         if (current.equals(quarantined)) {
             return;
         }
@@ -80,8 +92,8 @@
         log.event(Category.BELIEF, "quarantine")
                 .with("causes", current.size())
                 .with(
-                        "parts",
-                        PromptPart.join(current.stream().flatMap(Set::stream).toList()))
+                        "traits",
+                        RequestTrait.join(current.stream().flatMap(Set::stream).toList()))
                 .with("crashes", ledger.all(nowNanos).size())
                 .write();
     }
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/Crash.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/Crash.java
@@ -6,17 +6,20 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.galenahinge.quarantine.RequestTrait.Kind;
 
 /**
- * The end of one incarnation of an engine, with the parts of the prompts that were there without having brought an event.
+ * The end of one incarnation of an upstream, with the traits of the requests that were there: of those without an event
+ * yet the parts of their prompts, of all others the requests as wholes.
  * Merging is commutative, associative and idempotent, so that nodes may exchange crashes in any order and repeatedly.
  *
- * @param upstream identifies the incarnation of the engine
- * @param suspects the parts of the prompts that may have crashed it
- * @param cleared those of them that have brought an event since, at any engine
+ * @param upstream identifies the incarnation of the upstream
+ * @param suspects the traits that may have crashed it
+ * @param cleared those of them that were served since, by any upstream
  */
-public record Crash(long upstream, Set<PromptPart> suspects, Set<PromptPart> cleared) {
-    /** The maximum number of suspects of a crash, so that it fits into a datagram. */
+public record Crash(long upstream, Set<RequestTrait> suspects, Set<RequestTrait> cleared) {
+    /** The maximum number of suspects of each kind, so that a crash fits into a datagram. */
     public static final int MAXIMUM_SUSPECTS = 64;
 
     /** Copies the sets and drops the suspects above the maximum: the same ones on all nodes, others for each crash. */
@@ -26,12 +29,12 @@
     }
 
     /**
-     * Returns the parts that may still have caused the crash.
+     * Returns the traits that may still have caused the crash.
      *
      * @return the suspects that are not cleared
      */
-    public Set<PromptPart> remaining() {
-        return suspects.stream().filter(part -> !cleared.contains(part)).collect(Collectors.toUnmodifiableSet());
+    public Set<RequestTrait> remaining() {
+        return suspects.stream().filter(trait -> !cleared.contains(trait)).collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -49,36 +52,42 @@
     }
 
     /**
-     * Clears a part.
+     * Clears a trait.
      *
-     * @param part the part
-     * @return the crash, in which the part is no longer a suspect
+     * @param trait the trait
+     * @return the crash, in which the trait is no longer a suspect
      */
-    public Crash clear(PromptPart part) {
-        return merge(new Crash(upstream, Set.of(), Set.of(part)));
+    public Crash clear(RequestTrait trait) {
+        return merge(new Crash(upstream, Set.of(), Set.of(trait)));
     }
 
-    private static Set<PromptPart> first(Set<PromptPart> parts, long upstream) {
-        if (parts.size() <= MAXIMUM_SUSPECTS) {
-            return Set.copyOf(parts);
+    private static Set<RequestTrait> first(Set<RequestTrait> traits, long upstream) {
+        if (traits.size() <= MAXIMUM_SUSPECTS) {
+            return Set.copyOf(traits);
         }
-        return parts.stream()
-                .sorted(Comparator.comparingLong(part -> rank(part, upstream)))
-                .limit(MAXIMUM_SUSPECTS)
+        return Stream.of(Kind.values())
+                .flatMap(kind -> firstOf(kind, traits, upstream))
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    private static long rank(PromptPart part, long upstream) {
+    private static Stream<RequestTrait> firstOf(Kind kind, Set<RequestTrait> traits, long upstream) {
+        return traits.stream()
+                .filter(trait -> trait.kind() == kind)
+                .sorted(Comparator.comparingLong(trait -> rank(trait, upstream)))
+                .limit(MAXIMUM_SUSPECTS);
+    }
+
+    private static long rank(RequestTrait trait, long upstream) {
         return Hashing.murmur3_128()
                 .newHasher()
                 .putLong(upstream)
-                .putLong(part.id())
+                .putLong(trait.id())
                 .hash()
                 .asLong();
     }
 
-    private static Set<PromptPart> union(Set<PromptPart> first, Set<PromptPart> second) {
-        Set<PromptPart> union = new LinkedHashSet<>(first);
+    private static Set<RequestTrait> union(Set<RequestTrait> first, Set<RequestTrait> second) {
+        Set<RequestTrait> union = new LinkedHashSet<>(first);
         union.addAll(second);
         return union;
     }
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,22 +13,23 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.galenahinge.quarantine.CrashAttribution.Cause;
+import org.galenahinge.quarantine.RequestTrait.Kind;
 
 /**
- * The crashes of engines that a node has seen or heard of, and the parts of prompts that cause them. A request with such a
- * part is in quarantine: it must not reach another engine.
+ * The crashes of upstreams that a node has seen or heard of, and the traits of requests that cause them. A request with such
+ * a trait is in quarantine: it must not reach another upstream.
  *
  * <p>Its size does not depend on the number of requests: it holds a bounded number of crashes, and when a bounded number
- * of parts last brought an event. Not thread-safe.
+ * of traits was last served. Not thread-safe.
  */
 public final class CrashLedger {
     /** The maximum number of crashes that are held. */
     public static final int MAXIMUM_CRASHES = 64;
 
-    private static final int MAXIMUM_SERVED_PARTS = 1_024;
+    private static final int MAXIMUM_SERVED_TRAITS = 1_024;
     private static final int MAXIMUM_TRIED_CAUSES = 64;
 
-    /** Until a crash counts, requests that were there may bring an event at another engine and clear their parts. */
+    /** Until a crash counts, requests that were there may be served by another upstream, which clears their traits. */
     private static final Duration SETTLE_TIME = Duration.ofMillis(700);
 
     private static final Duration RETENTION = Duration.ofHours(1);
@@ -36,24 +38,24 @@
     /** After these, further trials of a cause would crash as many engines as make it certain. */
     private static final int MAXIMUM_TRIALS = CrashAttribution.CERTAIN_CRASHES - CrashAttribution.MINIMUM_CRASHES;
 
-    private final Predicate<PromptPart> triedHere;
+    private final Predicate<RequestTrait> triedHere;
     private final Map<Long, Entry> crashes = new LinkedHashMap<>();
-    private final Map<PromptPart, Long> servedNanos = boundedMap(MAXIMUM_SERVED_PARTS);
-    private final Map<Set<PromptPart>, Trials> trials = boundedMap(MAXIMUM_TRIED_CAUSES);
+    private final Map<Kind, Map<RequestTrait, Long>> servedNanos = servedByKind();
+    private final Map<Set<RequestTrait>, Trials> trials = boundedMap(MAXIMUM_TRIED_CAUSES);
     private List<Cause> causes = List.of();
     private Optional<Long> nextChangeNanos = Optional.empty();
 
-    private CrashLedger(Predicate<PromptPart> triedHere) {
+    private CrashLedger(Predicate<RequestTrait> triedHere) {
         this.triedHere = triedHere;
     }
 
     /**
      * Creates an empty ledger.
      *
-     * @param triedHere whether this node is the one that may try a request with a doubtful cause, by the first of its parts
+     * @param triedHere whether this node is the one that may try a request with a doubtful cause, by the first of its traits
      * @return the ledger
      */
-    public static CrashLedger create(Predicate<PromptPart> triedHere) {
+    public static CrashLedger create(Predicate<RequestTrait> triedHere) {
         return new CrashLedger(Objects.requireNonNull(triedHere, "triedHere"));
     }
 
@@ -103,19 +105,20 @@
     }
 
     /**
-     * Records that a request brought an event or a complete response, so that its parts crash no engine.
+     * Records that a request was served, so that its traits crash no upstream: the parts of its prompt once it has brought an
+     * event, the request as a whole once its response is complete.
      *
-     * @param parts the parts of its prompt
+     * @param traits the traits
      * @param nowNanos the time, in nanoseconds
      */
-    public void recordServed(Collection<PromptPart> parts, long nowNanos) {
-        for (PromptPart part : parts) {
-            servedNanos.put(part, nowNanos);
-            clear(part, nowNanos);
+    public void recordServed(Collection<RequestTrait> traits, long nowNanos) {
+        for (RequestTrait trait : traits) {
+            servedNanos.get(trait.kind()).put(trait, nowNanos);
+            clear(trait, nowNanos);
         }
     }
 
-    /** Whether a request may be sent to an engine. */
+    /** Whether a request may be sent to an upstream. */
     public enum Decision {
         /** It contains no cause of crashes. */
         ALLOWED,
@@ -126,18 +129,18 @@
     }
 
     /**
-     * Decides whether a request may be sent to an engine.
+     * Decides whether a request may be sent to an upstream.
      *
-     * @param parts the parts of its prompt
+     * @param traits its traits
      * @param nowNanos the time, in nanoseconds
      * @return the decision; a trial counts as begun
      */
-    public Decision decide(Collection<PromptPart> parts, long nowNanos) {
-        if (crashes.isEmpty() || parts.isEmpty()) {
+    public Decision decide(Collection<RequestTrait> traits, long nowNanos) {
+        if (crashes.isEmpty() || traits.isEmpty()) {
             return Decision.ALLOWED;
         }
         List<Cause> contained = causes(nowNanos).stream()
-                .filter(cause -> parts.containsAll(cause.parts()))
+                .filter(cause -> traits.containsAll(cause.traits()))
                 .toList();
         if (contained.isEmpty()) {
             return Decision.ALLOWED;
@@ -147,13 +150,13 @@
     }
 
     /**
-     * Returns the parts that are in quarantine.
+     * Returns the traits that are in quarantine.
      *
      * @param nowNanos the time, in nanoseconds
-     * @return the sets of parts that no request may contain all of
+     * @return the sets of traits that no request may have all of
      */
-    public List<Set<PromptPart>> quarantined(long nowNanos) {
-        return causes(nowNanos).stream().map(Cause::parts).toList();
+    public List<Set<RequestTrait>> quarantined(long nowNanos) {
+        return causes(nowNanos).stream().map(Cause::traits).toList();
     }
 
     /**
@@ -202,22 +205,22 @@
         return changedWithin(RETENTION, nowNanos);
     }
 
-    private void clear(PromptPart part, long nowNanos) {
+    private void clear(RequestTrait trait, long nowNanos) {
         for (Entry entry : List.copyOf(crashes.values())) {
-            boolean suspect = entry.crash().suspects().contains(part)
-                    && !entry.crash().cleared().contains(part);
+            boolean suspect = entry.crash().suspects().contains(trait)
+                    && !entry.crash().cleared().contains(trait);
             if (suspect) {
-                put(new Entry(entry.crash().clear(part), entry.crashNanos(), nowNanos));
+                put(new Entry(entry.crash().clear(trait), entry.crashNanos(), nowNanos));
             }
         }
     }
 
     private Crash clearServed(Crash crash, long crashNanos) {
         Crash cleared = crash;
-        for (PromptPart part : crash.remaining()) {
-            Long served = servedNanos.get(part);
+        for (RequestTrait trait : crash.remaining()) {
+            Long served = servedNanos.get(trait.kind()).get(trait);
             if (served != null && served - crashNanos > 0) {
-                cleared = cleared.clear(part);
+                cleared = cleared.clear(trait);
             }
         }
         return cleared;
@@ -239,7 +242,7 @@
         List<Cause> known = causes(nowNanos);
         Optional<Entry> oldest = crashes.values().stream()
                 .filter(entry -> known.stream()
-                        .noneMatch(cause -> entry.crash().remaining().containsAll(cause.parts())))
+                        .noneMatch(cause -> entry.crash().remaining().containsAll(cause.traits())))
                 .min((first, second) -> Long.signum(first.crashNanos() - second.crashNanos()))
                 .filter(entry -> entry.crashNanos() - crashNanos < 0);
         oldest.ifPresent(entry -> crashes.remove(entry.crash().upstream()));
@@ -272,24 +275,33 @@
         return causes;
     }
 
-    /** One node at a time tries one request with parts that are not certain to crash engines, a few times at most. */
+    /** One node at a time tries one request with traits that are not certain to crash upstreams, a few times at most. */
     private boolean startTrial(Cause cause, long nowNanos) {
-        Optional<PromptPart> first = cause.parts().stream().min(Comparator.comparingLong(PromptPart::id));
+        Optional<RequestTrait> first = cause.traits().stream().min(Comparator.comparingLong(RequestTrait::id));
         if (cause.isCertain() || first.filter(triedHere).isEmpty()) {
             return false;
         }
-        Trials before = trials.get(cause.parts());
+        Trials before = trials.get(cause.traits());
         if (before == null) {
-            trials.put(cause.parts(), new Trials(0, nowNanos));
+            trials.put(cause.traits(), new Trials(0, nowNanos));
             return false;
         }
         if (before.count() >= MAXIMUM_TRIALS || nowNanos - before.startedNanos() < TRIAL_INTERVAL.toNanos()) {
             return false;
         }
-        trials.put(cause.parts(), new Trials(before.count() + 1, nowNanos));
+        trials.put(cause.traits(), new Trials(before.count() + 1, nowNanos));
         return true;
     }
 
+    /** Requests as wholes are far more numerous than parts and must not displace them. */
+    private static Map<Kind, Map<RequestTrait, Long>> servedByKind() {
+        Map<Kind, Map<RequestTrait, Long>> maps = new EnumMap<>(Kind.class);
+        for (Kind kind : Kind.values()) {
+            maps.put(kind, boundedMap(MAXIMUM_SERVED_TRAITS));
+        }
+        return maps;
+    }
+
     private static <K, V> Map<K, V> boundedMap(int maximum) {
         return new LinkedHashMap<>(16, 0.75f, true) {
             private static final long serialVersionUID = 1L;
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/package-info.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Finds the parts of prompts that crash engines, and rejects the requests that contain them. Does no network I/O and takes
+ * Finds the requests, and the parts of prompts, that crash upstreams, and rejects them. Does no network I/O and takes
  * the time as a parameter.
  */
 package org.galenahinge.quarantine;
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -17,7 +17,7 @@
 import org.galenahinge.quarantine.Crash;
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
-import org.galenahinge.quarantine.PromptPart;
+import org.galenahinge.quarantine.RequestTrait;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -26,7 +26,7 @@
     private static final EventLog LOG = EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry());
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration RESTART_TIME = Duration.ofSeconds(3);
-    private static final PromptPart CRASHING = new PromptPart(0xBAD);
+    private static final RequestTrait CRASHING = RequestTrait.ofPart(0xBAD);
     private static final int COMMON_PARTS = 180;
     private static final int MAXIMUM_REQUESTS_ONCE_KNOWN = 3;
 
@@ -130,16 +130,16 @@
     }
 
     /** A few parts are common, most are rare. */
-    private PromptPart commonPart() {
+    private RequestTrait commonPart() {
         double fraction = random.nextDouble();
-        return new PromptPart((long) (fraction * fraction * COMMON_PARTS) + 1);
+        return RequestTrait.ofPart((long) (fraction * fraction * COMMON_PARTS) + 1);
     }
 
     private boolean isKnown() {
         return crashes >= 5 && timers.nanoTime() - fifthCrashNanos > GossipFleet.STABLE_WINDOW.toNanos();
     }
 
-    private record Running(long number, Entry entry, Set<PromptPart> parts, int attemptsLeft) {}
+    private record Running(long number, Entry entry, Set<RequestTrait> parts, int attemptsLeft) {}
 
     private final class Engine {
         private final int number;
@@ -176,7 +176,7 @@
                 fifthCrashNanos = timers.nanoTime();
             }
             up = false;
-            Map<Entry, Set<PromptPart>> suspects = new HashMap<>();
+            Map<Entry, Set<RequestTrait>> suspects = new HashMap<>();
             List<Running> lost = List.copyOf(withoutEvent);
             withoutEvent.clear();
             lost.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
@@ -207,7 +207,7 @@
             member.start(new CrashGossip(ledger, LOG));
         }
 
-        void request(Set<PromptPart> parts, int attemptsLeft) {
+        void request(Set<RequestTrait> parts, int attemptsLeft) {
             if (attemptsLeft == 0 || member.isCut()) {
                 return;
             }
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashAttributionTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashAttributionTest.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,7 +28,19 @@
         "bad worse | bad | bad | bad | bad | worse | worse | worse, bad / worse",
         // What one part explains does not speak against another.
         "a bad | a bad | a bad | a b | bad | bad, bad",
-        "'', ''"
+        "'', ''",
+        // Whole requests begin with an exclamation mark.
+        "!f | !f, ''",
+        "a !f | b !f | c !f, !f",
+        "!e !f | !e !f | !e !f, !e / !f",
+        // A part that was there only together with such a request is not a cause, one that was there elsewhere is.
+        "a !f | a !f | a !f, !f",
+        "a !f | a !f | a !f | a !e, !f",
+        "a !f | a !f | a !f | a !e | a !d, a / !f",
+        "a !f | a !f | a !f | a !f | a !e, !f",
+        "a !f | a !f | a !f | a !e | a !d | a !c, a / !f",
+        // A tie between parts does not delay what a request explains.
+        "a b !f | a !f | a b !f | b, !f"
     })
     void findsTheFewestPartsThatExplainTheCrashes(String crashes, String expected) {
         List<Crash> list = new ArrayList<>();
@@ -37,7 +48,7 @@
             list.add(new Crash(list.size(), parts(suspects), Set.of()));
         }
         assertThat(CrashAttribution.causes(list).stream()
-                        .map(cause -> text(cause.parts()))
+                        .map(cause -> text(cause.traits()))
                         .sorted()
                         .collect(Collectors.joining(" / ")))
                 .isEqualTo(Stream.of(expected.split(" / "))
@@ -46,16 +57,23 @@
                         .collect(Collectors.joining(" / ")));
     }
 
-    private static Set<PromptPart> parts(String names) {
+    private static Set<RequestTrait> parts(String names) {
         return Stream.of(names.strip().split(" "))
                 .filter(name -> !name.isEmpty())
-                .map(PromptPart::of)
+                .map(CrashAttributionTest::trait)
                 .collect(Collectors.toSet());
     }
 
-    private static String text(Set<PromptPart> parts) {
-        return PromptPart.join(new ArrayList<>(
-                        new TreeSet<>(parts.stream().map(PromptPart::toString).toList()))
-                .stream().map(PromptPart::of).toList());
+    private static RequestTrait trait(String name) {
+        return name.startsWith("!")
+                ? RequestTrait.ofRequest(Long.parseLong(name.substring(1), 16))
+                : RequestTrait.ofPart(name);
+    }
+
+    private static String text(Set<RequestTrait> traits) {
+        return traits.stream()
+                .map(trait -> (trait.isWholeRequest() ? "!" : "") + trait)
+                .sorted()
+                .collect(Collectors.joining(","));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class CrashLedgerTest {
-    private static final PromptPart BAD = PromptPart.of("bad");
-    private static final PromptPart SOUND = PromptPart.of("50");
+    private static final RequestTrait BAD = RequestTrait.ofPart("bad");
+    private static final RequestTrait SOUND = RequestTrait.ofPart("50");
     private static final Duration SETTLED = Duration.ofSeconds(1);
 
     private final CrashLedger ledger = CrashLedger.create(part -> true);
@@ -73,19 +73,44 @@
         assertThat(trials).isEqualTo(expected);
     }
 
+    /** Guards against sound requests of the caller that are rejected with the one that crashes upstreams. */
+    @Test
+    void quarantinesARequestAsAWhole() {
+        RequestTrait crashing = RequestTrait.ofRequest(1);
+        for (int crash = 0; crash < 3; crash++) {
+            ledger.add(aged(Set.of(SOUND, crashing), SETTLED), nowNanos);
+        }
+        assertThat(isQuarantined(List.of(SOUND, crashing))).isTrue();
+        assertThat(isQuarantined(List.of(SOUND, RequestTrait.ofRequest(2)))).isFalse();
+        assertThat(isQuarantined(List.of(RequestTrait.ofPart(1)))).isFalse();
+    }
+
+    /** Guards against many requests that displace what is known of parts, and against memory that grows with requests. */
+    @Test
+    void remembersPartsWhateverTheNumberOfRequests() {
+        ledger.recordServed(List.of(SOUND), nowNanos);
+        for (int number = 0; number < 100_000; number++) {
+            ledger.recordServed(List.of(RequestTrait.ofRequest(number)), nowNanos);
+        }
+        for (int crash = 0; crash < 3; crash++) {
+            ledger.add(aged(Set.of(SOUND, RequestTrait.ofRequest(99_999)), SETTLED), nowNanos);
+        }
+        assertThat(ledger.quarantined(nowNanos)).isEmpty();
+    }
+
     /** Guards against memory that grows with crashes, and against nodes that pass on for ever what others have dropped. */
     @Test
     void holdsTheYoungestCrashesAndThoseOfCauses() {
         crash(5, BAD);
         for (int number = 0; number < 1_000; number++) {
-            crash(1, new PromptPart(1_000 + number));
+            crash(1, RequestTrait.ofPart(1_000 + number));
         }
         assertThat(ledger.all(nowNanos)).hasSize(CrashLedger.MAXIMUM_CRASHES);
         assertThat(ledger.quarantined(nowNanos)).containsExactly(Set.of(BAD));
 
         nowNanos += Duration.ofSeconds(10).toNanos();
         for (int number = 0; number < 100; number++) {
-            ledger.add(aged(Set.of(new PromptPart(number)), Duration.ofMinutes(50)), nowNanos);
+            ledger.add(aged(Set.of(RequestTrait.ofPart(number)), Duration.ofMinutes(50)), nowNanos);
         }
         assertThat(ledger.changedWithin(SETTLED, nowNanos)).isEmpty();
     }
@@ -117,11 +142,11 @@
         assertThat(trials).isEqualTo(2);
     }
 
-    private boolean isQuarantined(List<PromptPart> parts) {
+    private boolean isQuarantined(List<RequestTrait> parts) {
         return ledger.decide(parts, nowNanos) == Decision.QUARANTINED;
     }
 
-    private void crash(int times, PromptPart part) {
+    private void crash(int times, RequestTrait part) {
         for (int crash = 0; crash < times; crash++) {
             ledger.add(aged(Set.of(part), Duration.ZERO), nowNanos);
             nowNanos += SETTLED.toNanos();
@@ -129,7 +154,7 @@
         }
     }
 
-    private AgedCrash aged(Set<PromptPart> suspects, Duration age) {
+    private AgedCrash aged(Set<RequestTrait> suspects, Duration age) {
         return new AgedCrash(new Crash(nextUpstream++, suspects, Set.of()), age);
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.Set;
 import java.util.stream.Collectors;
 import net.jqwik.api.Arbitraries;
@@ -9,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
 
 class CrashTest {
     private static final long UPSTREAM = 7;
@@ -30,18 +32,31 @@
     @Property(tries = 200, seed = "2")
     void keepsPartsCleared(@ForAll("crashes") Crash first, @ForAll("crashes") Crash second) {
         Crash clearing = first;
-        for (PromptPart part : first.suspects()) {
+        for (RequestTrait part : first.suspects()) {
             clearing = clearing.clear(part);
         }
         Crash merged = second.merge(clearing);
         assertThat(merged.remaining()).doesNotContainAnyElementsOf(first.suspects());
     }
 
+    @Test
+    void keepsAsManySuspectsOfEachKind() {
+        Set<RequestTrait> traits = new HashSet<>();
+        for (int id = 0; id < PARTS; id++) {
+            traits.add(RequestTrait.ofPart(id));
+            traits.add(RequestTrait.ofRequest(id));
+        }
+        Crash crash = new Crash(UPSTREAM, traits, Set.of());
+        assertThat(crash.suspects()).hasSize(2 * Crash.MAXIMUM_SUSPECTS);
+        assertThat(crash.suspects().stream().filter(RequestTrait::isWholeRequest))
+                .hasSize(Crash.MAXIMUM_SUSPECTS);
+    }
+
     @Provide
     Arbitrary<Crash> crashes() {
         return Arbitraries.longs()
                 .between(0, PARTS)
-                .map(PromptPart::new)
+                .map(RequestTrait::ofPart)
                 .set()
                 .ofMinSize(1)
                 .ofMaxSize(PARTS)
@@ -49,7 +64,7 @@
     }
 
     /** A third of the parts, the same ones in each crash. */
-    private static Set<PromptPart> every(Set<PromptPart> parts) {
+    private static Set<RequestTrait> every(Set<RequestTrait> parts) {
         return parts.stream().filter(part -> part.id() % 3 == 0).collect(Collectors.toSet());
     }
 }
