Notice a crash also where the upstream accepts one more connection while it ends

A new connection must now stay open for 150 ms to show that its upstream runs; one that is closed before is followed by one more probe. CrashDetectorTest.recordsAnUpstreamThatAcceptsAConnectionAndEnds failed before (not known after 10 s) and passes.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
@@ -26,6 +26,9 @@
     /** The connections of one crash are lost one after the other within this time. */
     private static final Duration WATCH_TIME = Duration.ofSeconds(2);
 
+    /** How long a new connection must stay open as a sign that its upstream runs. */
+    private static final Duration CONFIRMATION_TIME = Duration.ofMillis(150);
+
     private static final int MAXIMUM_WATCHED = 256;
 
     private final CrashLedger ledger;
@@ -69,7 +72,7 @@
         if (watch == null || !watch.upstream.isSameIncarnation(upstream)) {
             watch = new Watch(upstream, now);
             watches.put(upstream.id(), watch);
-            probe(watch, pool);
+            probe(watch, pool, true);
         }
         watch.traits.addAll(traits);
         if (watch.crashed) {
@@ -77,12 +80,12 @@
         }
     }
 
-    private void probe(Watch watch, UpstreamPool pool) {
+    /** Opens a connection. One that is closed again at once was accepted by an upstream that was about to end. */
+    private void probe(Watch watch, UpstreamPool pool, boolean first) {
         pool.open(new HttpConnection.ConnectListener() {
             @Override
             public void onConnected(HttpConnection connection) {
-                pool.release(connection);
-                watches.remove(watch.upstream.id(), watch);
+                timers.schedule(CONFIRMATION_TIME, () -> confirm(watch, pool, connection, first));
             }
 
             @Override
@@ -93,6 +96,15 @@
         });
     }
 
+    private void confirm(Watch watch, UpstreamPool pool, HttpConnection connection, boolean first) {
+        if (first && !connection.isUsable(1)) {
+            probe(watch, pool, false);
+            return;
+        }
+        pool.release(connection);
+        watches.remove(watch.upstream.id(), watch);
+    }
+
     private void record(Watch watch) {
         long now = timers.nanoTime();
         Duration age = Duration.ofNanos(now - watch.startedNanos);
