Take back what a restored store still holds long after, where only its removal was retained

Found in reading the change: a record that expires shortly before the store is restored from a copy that holds it is a removal that all nodes retain. An upstream that was leaving stays so. FactLogTest and FactSynchronizerTest have a case each, for which there was no code before.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactItem.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactItem.java
@@ -188,6 +188,16 @@
         return new FactItem(key, value, new StorePosition(restored.epoch(), revision), revision, removed, rank);
     }
 
+    /** Returns this item as one that the restored store still holds long after, in place of a removal that was retained. */
+    FactItem confirmedAt(StorePosition read) {
+        return new FactItem(key, value, read, read.revision() + 1, removed, rank);
+    }
+
+    /** Tells whether this item says less of the same life than another one, such as that an upstream is not leaving. */
+    boolean isEarlierStageOf(FactItem other) {
+        return rank.isPresent() && other.rank.isPresent() && rank.get().compareStage(other.rank.get()) < 0;
+    }
+
     /**
      * Tells whether this is what the store held before another change, so that the store has been restored from a copy.
      * What was written since has a revision after that of the change before the other one. A copy holds no removals.
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -92,6 +92,45 @@
         return applied;
     }
 
+    /**
+     * Merges a snapshot of the store that was read long after it was restored. Records of what has ended have expired by
+     * then, so what it still holds exists, although a removal of it was retained over the copy.
+     *
+     * @param snapshot all items
+     * @param takenAt the store's position when reading the snapshot began
+     * @return the changes that say something new, ordered by position
+     */
+    public List<FactItem> mergeSettledSnapshot(Collection<FactItem> snapshot, StorePosition takenAt) {
+        Map<String, FactItem> stored = new HashMap<>();
+        snapshot.forEach(item -> stored.put(item.key(), item));
+        List<FactItem> applied = new ArrayList<>();
+        for (Held held : List.copyOf(items.values())) {
+            FactItem removal = held.item();
+            if (!isRetainedRemoval(removal)) {
+                continue;
+            }
+            FactItem item = stored.get(removal.key());
+            if (item == null) {
+                put(FactItem.removed(removal.key(), takenAt).replacing(removal, false), held.sequence());
+            } else if (!item.isEarlierStageOf(removal)) {
+                FactItem confirmed = item.confirmedAt(takenAt);
+                put(confirmed, ++sequence);
+                applied.add(confirmed);
+            }
+        }
+        applied.addAll(mergeSnapshot(snapshot, takenAt));
+        return applied;
+    }
+
+    /**
+     * Tells whether any removal was retained over the copy from which the store was restored.
+     *
+     * @return whether {@link #mergeSettledSnapshot} may bring something back
+     */
+    public boolean hasRetainedRemovals() {
+        return items.values().stream().anyMatch(held -> isRetainedRemoval(held.item()));
+    }
+
     /**
      * Returns what a reader does not know.
      *
@@ -171,6 +210,10 @@
         return applied;
     }
 
+    private static boolean isRetainedRemoval(FactItem item) {
+        return item.removed() && item.isRetained();
+    }
+
     /** Returns whether the change says something new. */
     private boolean applyIfNewer(FactItem change, boolean incremental) {
         Held held = items.get(change.key());
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -45,6 +45,10 @@
     private static final Duration MAXIMUM_PEER_WAIT_AT_START = Duration.ofMillis(700);
 
     private static final int MAXIMUM_PEER_FAILURES_AT_START = 3;
+
+    /** How long after a restore the store no longer holds the records of upstreams that have ended: they expire before. */
+    private static final Duration RECORDS_SETTLED_AFTER = Duration.ofSeconds(10);
+
     private static final Duration STALE_RESULT_PAUSE = Duration.ofMillis(60);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(80);
@@ -72,6 +76,7 @@
     private boolean peerAnswered;
     private long storeReadNanos;
     private long comparePeersUntilNanos;
+    private long settledNanos;
     private FactCursor peerCursor = FactCursor.START;
 
     /** Receives items that changed. */
@@ -271,7 +276,8 @@
     }
 
     private FactCursor cursor(SourceState state) {
-        if (state.historyGone || !facts.position().isKnown()) {
+        boolean needsSnapshot = state.historyGone || !facts.position().isKnown() || (state.store && mayHaveSettled());
+        if (needsSnapshot) {
             return FactCursor.START;
         }
         return state.store
@@ -314,9 +320,7 @@
             timers.schedule(pause, this::startDueReads);
         }
         StorePosition before = facts.position();
-        List<FactItem> changes = result.snapshot()
-                ? facts.mergeSnapshot(result.items(), result.cursor().position())
-                : facts.merge(result.items(), result.cursor().position());
+        List<FactItem> changes = merge(state, result);
         boolean restored = before.isKnown() && facts.position().epoch() > before.epoch();
         if (restored) {
             onStoreRestored(source, before);
@@ -351,6 +355,23 @@
         refreshed.run();
     }
 
+    private List<FactItem> merge(SourceState state, FactSource.ReadResult result) {
+        StorePosition position = result.cursor().position();
+        if (!result.snapshot()) {
+            return facts.merge(result.items(), position);
+        }
+        if (state.store && mayHaveSettled()) {
+            settledNanos = timers.nanoTime() + RECORDS_SETTLED_AFTER.toNanos();
+            return facts.mergeSettledSnapshot(result.items(), position);
+        }
+        return facts.mergeSnapshot(result.items(), position);
+    }
+
+    /** Tells whether the watcher must find out if what was removed before the store was restored exists after all. */
+    private boolean mayHaveSettled() {
+        return loaded && timers.nanoTime() - settledNanos >= 0 && peers.isWatcher() && facts.hasRetainedRemovals();
+    }
+
     private void recordSource(SourceState state, FactSource.ReadResult result) {
         if (!state.store) {
             peerAnswered = true;
@@ -363,6 +384,7 @@
     /** Other nodes may know what the store lost, so they are read for a while, also by the watcher. */
     private void onStoreRestored(FactSource source, StorePosition before) {
         comparePeersUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
+        settledNanos = timers.nanoTime() + RECORDS_SETTLED_AFTER.toNanos();
         log.event(Category.BELIEF, "store_restored")
                 .with("source", source.name())
                 .with("before", before.toString())
@@ -382,6 +404,7 @@
         }
         loaded = true;
         comparePeersUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
+        settledNanos = timers.nanoTime() + RECORDS_SETTLED_AFTER.toNanos();
         log.event(Category.LIFECYCLE, "facts_loaded")
                 .with("position", facts.position().toString())
                 .with("peer", peerAnswered ? "yes" : "no")
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
@@ -144,6 +144,33 @@
         assertThat(log.present()).containsExactly(item("up", 12, 2));
     }
 
+    /**
+     * Guards against an upstream that is never used again: its record expired while it did not reach the store, the store
+     * was restored from a copy that holds the record, and the upstream has nothing new to write.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12})
+    void takesBackWhatTheStoreStillHoldsLongAfter(long settledRevision) {
+        FactItem copy = item("up", 9, 2).withRank(IN_USE);
+        FactItem leftCopy = item("left", 8, 2).withRank(IN_USE);
+        log.merge(List.of(item("up", 9).withRank(IN_USE), item("left", 8).withRank(IN_USE)), at(9));
+        log.merge(List.of(item("left", 10).withRank(LEAVING)), at(10));
+        log.merge(List.of(removed("up", 12), removed("left", 13)), at(13));
+        log.mergeSnapshot(List.of(copy, leftCopy), new StorePosition(2, 11));
+        FactLog reader = FactLog.create(2);
+        FactLog.Changes all = log.changesAfter(FactCursor.START);
+        reader.mergeSnapshot(all.items(), all.cursor().position());
+        assertThat(log.present()).isEmpty();
+
+        log.mergeSettledSnapshot(List.of(copy, leftCopy), new StorePosition(2, settledRevision));
+        reader.merge(log.changesAfter(all.cursor()).items(), log.position());
+        assertThat(log.present()).extracting(FactItem::key).containsExactly("up");
+        assertThat(reader.present()).extracting(FactItem::key).containsExactly("up");
+        assertThat(log.hasRetainedRemovals()).isTrue();
+        log.merge(List.of(FactItem.removed("left", new StorePosition(2, 13))), new StorePosition(2, 13));
+        assertThat(log.hasRetainedRemovals()).isFalse();
+    }
+
     /** A late answer of a node that has not heard of the loss does not bring back what nobody has written again. */
     @Test
     void doesNotBringBackWhatTheRestoredStoreLacks() {
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -155,6 +155,24 @@
         assertThat(changedItems.get(changedItems.size() - 1).removed()).isFalse();
     }
 
+    /** Guards against an upstream that is never used again because its record expired just before the store was restored. */
+    @Test
+    void theWatcherTakesBackWhatTheRestoredStoreHoldsForLong() {
+        watcher = true;
+        peerKnown = false;
+        store.publish("up");
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(1));
+        store.remove("up");
+        timers.advance(Duration.ofSeconds(1));
+        store.restore();
+        store.publish("up");
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(changedItems.get(changedItems.size() - 1).removed()).isTrue();
+        timers.advance(Duration.ofSeconds(7));
+        assertThat(changedItems.get(changedItems.size() - 1).removed()).isFalse();
+    }
+
     /** Guards against a response that was delayed until after the store had been restored. */
     @Test
     void ignoresAResponseFromBeforeTheStoreWasRestored() {
@@ -238,6 +256,11 @@
             items.add(FactItem.written(key, new byte[0], new StorePosition(epoch, ++revision)));
         }
 
+        void remove(String key) {
+            items.removeIf(item -> item.key().equals(key));
+            items.add(FactItem.removed(key, new StorePosition(epoch, ++revision)));
+        }
+
         /** Goes back to the empty store that it was at the start. */
         void restore() {
             epoch++;
