Model of a fleet: a request that its caller repeats, which crashes engines before or after the first event

The model of CrashGossipTest knew parts of prompts only. Each request has an identity now, crashes may come after the first event, and seven fleets of 7 to 150 entries (3 to 300 engines, restarts, cuts, lost datagrams, other ends of engines) get one request again and again: at most three reach engines once three have crashed and 3 s have passed, under 1% of the sound ones are rejected. The earlier cases run with the same bounds.

--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -12,21 +12,26 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.quarantine.Crash;
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
 import org.galenahinge.quarantine.RequestTrait;
+import org.galenahinge.quarantine.RequestTrait.Kind;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Entries that learn from each other which part of a prompt crashes engines, in a model of a fleet under load. */
+/** Entries that learn from each other which part of a prompt, or which request, crashes engines: a fleet under load. */
 class CrashGossipTest {
     private static final EventLog LOG = EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry());
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration RESTART_TIME = Duration.ofSeconds(3);
     private static final RequestTrait CRASHING = RequestTrait.ofPart(0xBAD);
+    private static final RequestTrait CRASHING_REQUEST = RequestTrait.ofRequest(-1);
+    private static final int CRASHES_OF_PART_UNTIL_KNOWN = 5;
+    private static final int CRASHES_OF_REQUEST_UNTIL_KNOWN = 3;
     private static final int COMMON_PARTS = 180;
     private static final int MAXIMUM_REQUESTS_ONCE_KNOWN = 3;
 
@@ -36,8 +41,11 @@
     private Random random = new Random(1);
     private double engineEndsPerSecond;
     private long requests;
+    private long identities;
     private int crashes;
-    private long fifthCrashNanos;
+    private int crashesUntilKnown = CRASHES_OF_PART_UNTIL_KNOWN;
+    private boolean crashesAfterEvent;
+    private long knownCrashNanos;
     private int reachedOnceKnown;
     private int sound;
     private int soundRejected;
@@ -70,7 +78,45 @@
         engineEndsPerSecond = endsPerSecond;
         for (int second = 0; second < 40; second++) {
             disturb(second);
-            run(Duration.ofSeconds(1), perSecond, crashingPerSecond);
+            run(Duration.ofSeconds(1), perSecond, crashingPerSecond, Set.of(CRASHING));
+        }
+        assertThat(crashes).isGreaterThanOrEqualTo(3);
+        assertThat(reachedOnceKnown).isLessThanOrEqualTo(MAXIMUM_REQUESTS_ONCE_KNOWN);
+        assertThat((double) soundRejectedOnceSettled / Math.max(1, soundOnceSettled))
+                .isLessThan(0.01);
+    }
+
+    /**
+     * Guards against one request that crashes upstream after upstream as its caller sends it again, also where the crash
+     * comes after the first event. Its part of the prompt is shared with sound requests.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // entries, engines, requests per second, repetitions per second, crash after event, other ends per second, seed
+        "7, 10, 120, 2.5, false, 0, 1",
+        "8, 10, 80, 2.5, true, 0, 2",
+        "8, 3, 20, 1, false, 0.1, 3",
+        "8, 10, 80, 0.4, true, 0.2, 4",
+        "20, 13, 150, 4, false, 0.1, 5",
+        "49, 97, 600, 6, true, 0.5, 6",
+        "150, 300, 600, 8, false, 0, 7",
+    })
+    void findsTheRequestThatCrashesEngines(
+            int entryCount,
+            int engineCount,
+            double perSecond,
+            double crashingPerSecond,
+            boolean afterEvent,
+            double endsPerSecond,
+            long seed) {
+        start(entryCount, engineCount, seed);
+        crashesUntilKnown = CRASHES_OF_REQUEST_UNTIL_KNOWN;
+        crashesAfterEvent = afterEvent;
+        engineEndsPerSecond = endsPerSecond;
+        Set<RequestTrait> crashing = Set.of(commonPart(), CRASHING_REQUEST);
+        for (int second = 0; second < 40; second++) {
+            disturb(second);
+            run(Duration.ofSeconds(1), perSecond, crashingPerSecond, crashing);
         }
         assertThat(crashes).isGreaterThanOrEqualTo(3);
         assertThat(reachedOnceKnown).isLessThanOrEqualTo(MAXIMUM_REQUESTS_ONCE_KNOWN);
@@ -83,10 +129,10 @@
     @CsvSource({"8, 10, 80, 1", "20, 28, 200, 2", "49, 97, 600, 3", "49, 97, 600, 4"})
     void rejectsNothingWhenEnginesEndForOtherReasons(int entryCount, int engineCount, double perSecond, long seed) {
         start(entryCount, engineCount, seed);
-        run(Duration.ofSeconds(5), perSecond, 0);
+        run(Duration.ofSeconds(5), perSecond, 0, Set.of());
         for (int failure = 0; failure < 4; failure++) {
             engines.subList(0, Math.max(2, engineCount / 4)).forEach(engine -> engine.end(0));
-            run(Duration.ofSeconds(8), perSecond, 0);
+            run(Duration.ofSeconds(8), perSecond, 0, Set.of());
         }
         assertThat((double) soundRejected / sound).isLessThan(0.001);
     }
@@ -109,15 +155,15 @@
         }
     }
 
-    private void run(Duration time, double perSecond, double crashingPerSecond) {
+    private void run(Duration time, double perSecond, double crashingPerSecond, Set<RequestTrait> crashing) {
         double seconds = STEP.toMillis() / 1_000.0;
         for (long step = 0; step < time.dividedBy(STEP); step++) {
             timers.advance(STEP);
             for (double due = perSecond * seconds; random.nextDouble() < due; due--) {
-                anyEntry().request(new HashSet<>(Set.of(commonPart())), 2);
+                anyEntry().request(traits(Set.of()), 2);
             }
             if (random.nextDouble() < crashingPerSecond * seconds) {
-                anyEntry().request(new HashSet<>(Set.of(commonPart(), CRASHING)), 2);
+                anyEntry().request(traits(crashing), 2);
             }
             if (random.nextDouble() < engineEndsPerSecond * seconds) {
                 engines.get(random.nextInt(engines.size())).end(0);
@@ -125,6 +171,24 @@
         }
     }
 
+    /** A request of its own with a common part, unless it is the one that its caller repeats. */
+    private Set<RequestTrait> traits(Set<RequestTrait> crashing) {
+        Set<RequestTrait> traits = new HashSet<>(crashing);
+        if (!crashing.contains(CRASHING_REQUEST)) {
+            traits.add(commonPart());
+            traits.add(RequestTrait.ofRequest(identities++));
+        }
+        return traits;
+    }
+
+    private static boolean crashes(Set<RequestTrait> traits) {
+        return traits.contains(CRASHING) || traits.contains(CRASHING_REQUEST);
+    }
+
+    private static Set<RequestTrait> ofKind(Kind kind, Set<RequestTrait> traits) {
+        return traits.stream().filter(trait -> trait.kind() == kind).collect(Collectors.toSet());
+    }
+
     private Entry anyEntry() {
         return entries.get(random.nextInt(entries.size()));
     }
@@ -136,14 +200,16 @@
     }
 
     private boolean isKnown() {
-        return crashes >= 5 && timers.nanoTime() - fifthCrashNanos > GossipFleet.STABLE_WINDOW.toNanos();
+        return crashes >= crashesUntilKnown
+                && timers.nanoTime() - knownCrashNanos > GossipFleet.STABLE_WINDOW.toNanos();
     }
 
-    private record Running(long number, Entry entry, Set<RequestTrait> parts, int attemptsLeft) {}
+    private record Running(long number, Entry entry, Set<RequestTrait> traits, int attemptsLeft) {}
 
     private final class Engine {
         private final int number;
         private final Set<Running> withoutEvent = new HashSet<>();
+        private final Set<Running> withEvent = new HashSet<>();
         private int incarnation;
         private boolean up = true;
 
@@ -152,18 +218,36 @@
         }
 
         void run(Running running) {
-            int startedIn = incarnation;
             withoutEvent.add(running);
-            timers.schedule(Duration.ofMillis(80 + random.nextInt(400)), () -> {
-                if (startedIn != incarnation || !withoutEvent.contains(running)) {
-                    return;
-                }
-                if (running.parts().contains(CRASHING)) {
+            later(running, 400, () -> {
+                if (crashes(running.traits()) && !crashesAfterEvent) {
                     end(1);
                     return;
                 }
                 withoutEvent.remove(running);
-                running.entry().ledger.recordServed(running.parts(), timers.nanoTime());
+                withEvent.add(running);
+                running.entry().ledger.recordServed(ofKind(Kind.PROMPT_PART, running.traits()), timers.nanoTime());
+                later(running, 800, () -> complete(running));
+            });
+        }
+
+        private void complete(Running running) {
+            if (crashes(running.traits())) {
+                end(1);
+                return;
+            }
+            withEvent.remove(running);
+            running.entry().ledger.recordServed(ofKind(Kind.WHOLE_REQUEST, running.traits()), timers.nanoTime());
+        }
+
+        /** Runs a step of a request after some time, unless its engine has ended meanwhile. */
+        private void later(Running running, int maximumMillis, Runnable step) {
+            int startedIn = incarnation;
+            timers.schedule(Duration.ofMillis(80 + random.nextInt(maximumMillis)), () -> {
+                boolean here = withoutEvent.contains(running) || withEvent.contains(running);
+                if (startedIn == incarnation && here) {
+                    step.run();
+                }
             });
         }
 
@@ -172,20 +256,24 @@
                 return;
             }
             crashes += counted;
-            if (crashes == 5 && counted > 0) {
-                fifthCrashNanos = timers.nanoTime();
+            if (crashes == crashesUntilKnown && counted > 0) {
+                knownCrashNanos = timers.nanoTime();
             }
             up = false;
             Map<Entry, Set<RequestTrait>> suspects = new HashMap<>();
-            List<Running> lost = List.copyOf(withoutEvent);
+            withoutEvent.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
+                    .addAll(running.traits()));
+            withEvent.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
+                    .addAll(ofKind(Kind.WHOLE_REQUEST, running.traits())));
+            List<Running> lost = new ArrayList<>(withoutEvent);
+            lost.addAll(withEvent);
             withoutEvent.clear();
-            lost.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
-                    .addAll(running.parts()));
+            withEvent.clear();
             long id = number * 1_000L + incarnation;
             incarnation++;
-            suspects.forEach((entry, parts) ->
-                    entry.ledger.add(new AgedCrash(new Crash(id, parts, Set.of()), Duration.ZERO), timers.nanoTime()));
-            lost.forEach(running -> running.entry().request(running.parts(), running.attemptsLeft() - 1));
+            suspects.forEach((entry, traits) ->
+                    entry.ledger.add(new AgedCrash(new Crash(id, traits, Set.of()), Duration.ZERO), timers.nanoTime()));
+            lost.forEach(running -> running.entry().request(running.traits(), running.attemptsLeft() - 1));
             timers.schedule(RESTART_TIME, () -> up = true);
         }
     }
@@ -207,12 +295,12 @@
             member.start(new CrashGossip(ledger, LOG));
         }
 
-        void request(Set<RequestTrait> parts, int attemptsLeft) {
+        void request(Set<RequestTrait> traits, int attemptsLeft) {
             if (attemptsLeft == 0 || member.isCut()) {
                 return;
             }
-            boolean crashing = parts.contains(CRASHING);
-            boolean rejected = ledger.decide(parts, timers.nanoTime()) == CrashLedger.Decision.QUARANTINED;
+            boolean crashing = crashes(traits);
+            boolean rejected = ledger.decide(traits, timers.nanoTime()) == CrashLedger.Decision.QUARANTINED;
             if (!crashing) {
                 count(rejected);
             }
@@ -223,14 +311,14 @@
             if (crashing && isKnown() && member.isInTouch()) {
                 reachedOnceKnown++;
             }
-            running.get(random.nextInt(running.size())).run(new Running(requests++, this, parts, attemptsLeft));
+            running.get(random.nextInt(running.size())).run(new Running(requests++, this, traits, attemptsLeft));
         }
 
         private void count(boolean rejected) {
             sound++;
             soundRejected += rejected ? 1 : 0;
-            boolean settled =
-                    crashes >= 5 && timers.nanoTime() - fifthCrashNanos > 2 * GossipFleet.STABLE_WINDOW.toNanos();
+            boolean settled = crashes >= crashesUntilKnown
+                    && timers.nanoTime() - knownCrashNanos > 2 * GossipFleet.STABLE_WINDOW.toNanos();
             soundOnceSettled += settled ? 1 : 0;
             soundRejectedOnceSettled += settled && rejected ? 1 : 0;
         }
