Read all tickets again when the configuration service was restored from an older state

A ticket under a revision that was given out before was never read. A page names the epoch of the service now; one without it counts as epoch 0, as before.

--- a/bench/src/test/java/org/galenahinge/bench/InProcessFleet.java
+++ b/bench/src/test/java/org/galenahinge/bench/InProcessFleet.java
@@ -77,6 +77,11 @@
         HttpTool.send("PUT", configurationUrl + "/v1/values/tickets/" + number, ticket);
     }
 
+    /** Makes the configuration service lose all values after a revision and give out their revisions again. */
+    void restoreConfiguration(long revision) {
+        HttpTool.send("POST", configurationUrl + "/control/restore?revision=" + revision, "");
+    }
+
     @Override
     public void close() {
         entry.stop().toCompletableFuture().join();
--- a/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
@@ -77,6 +77,7 @@
     private final ConcurrentNavigableMap<Long, List<String>> history = new ConcurrentSkipListMap<>();
     private TicketState state = TicketState.empty();
     private Fleet fleet = Fleet.empty();
+    private long epoch;
     private long revision;
     private boolean readPending;
     private long nextReadNanos = System.nanoTime();
@@ -236,7 +237,9 @@
     private void handlePage(Page page) {
         backoffNanos = MINIMUM_BACKOFF_NANOS;
         nextReadNanos = System.nanoTime();
-        if (page.revision() < revision) {
+        boolean restored = revision > 0 && page.epoch() != epoch;
+        epoch = page.epoch();
+        if (restored || page.revision() < revision) {
             LOG.warnf("the configuration service went back from revision %d to %d", revision, page.revision());
             revision = 0;
             return;
--- a/galenahinge/src/main/java/org/galenahinge/reader/ConfigurationClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/reader/ConfigurationClient.java
@@ -67,11 +67,13 @@
     /**
      * A page of published values.
      *
+     * @param epoch how often the service has been restored from an older state, 0 if it does not say so; what was published
+     *     before cannot be told by revisions, since they are given out again
      * @param revision the revision up to which the page is complete
      * @param values the values, oldest first
      * @param more whether there are further values
      */
-    public record Page(long revision, List<Value> values, boolean more) {
+    public record Page(long epoch, long revision, List<Value> values, boolean more) {
         public Page {
             values = List.copyOf(values);
         }
--- a/stand-ins/src/main/java/org/galenahinge/standins/ConfigurationStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/ConfigurationStandIn.java
@@ -18,7 +18,8 @@
  * <p>{@code PUT /v1/values/KEY} publishes a value. Each read counts against the read rate, and each waiting watch
  * counts once a second; reads above the rate get status 429. {@code POST /control/down} makes all reads fail with
  * status 503, and {@code /control/up} ends this. {@code /control/stale?revision=N} hides all revisions after N, and
- * {@code /control/fresh} shows them again.
+ * {@code /control/fresh} shows them again. {@code /control/restore?revision=N} loses all values after N, as if the service
+ * had been restored from a backup: it gives out their revisions again, and its epoch rises.
  */
 public final class ConfigurationStandIn implements HttpStandIn.Handler {
     private static final String VALUES = "/v1/values/";
@@ -27,6 +28,7 @@
     private final int readsPerSecond;
     private final TreeMap<Long, Value> byRevision = new TreeMap<>();
     private long revision;
+    private long epoch = 1;
     private long lastVisibleRevision = Long.MAX_VALUE;
     private boolean down;
     private long currentSecond;
@@ -69,6 +71,7 @@
             case "down" -> down = true;
             case "up" -> down = false;
             case "stale" -> lastVisibleRevision = HttpStandIn.parameter(request, "revision", 0);
+            case "restore" -> restore(HttpStandIn.parameter(request, "revision", 0));
             case "fresh" -> lastVisibleRevision = Long.MAX_VALUE;
             default -> {
                 return HttpStandIn.status(404);
@@ -77,6 +80,12 @@
         return HttpStandIn.status(200);
     }
 
+    private void restore(long backupRevision) {
+        byRevision.tailMap(backupRevision, false).clear();
+        revision = Math.min(revision, backupRevision);
+        epoch++;
+    }
+
     private synchronized Statistics statistics() {
         return new Statistics(revision, reads, rejectedReads, waitingWatches);
     }
@@ -140,16 +149,16 @@
                 continue;
             }
             if (values.size() == limit) {
-                return new Page(values.get(limit - 1).revision(), values, true);
+                return new Page(epoch, values.get(limit - 1).revision(), values, true);
             }
             values.add(value);
         }
-        return new Page(visibleRevision, values, false);
+        return new Page(epoch, visibleRevision, values, false);
     }
 
     private record Value(String key, long revision, String value) {}
 
-    private record Page(long revision, List<Value> values, boolean more) {}
+    private record Page(long epoch, long revision, List<Value> values, boolean more) {}
 
     private record Published(long revision) {}
 
