--- a/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/TicketController.java
@@ -13,8 +13,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentNavigableMap;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -26,7 +24,6 @@
 import org.galenahinge.reader.ConfigurationClient.Page;
 import org.galenahinge.reader.ConfigurationClient.Value;
 import org.galenahinge.ticket.Ticket;
-import org.galenahinge.ticket.TicketGroup;
 import org.galenahinge.ticket.TicketResult;
 import org.galenahinge.ticket.TicketState;
 import org.galenahinge.ticket.TicketState.EffectiveGroup;
@@ -34,8 +31,6 @@
 import org.galenahinge.wire.WireConnection;
 import org.galenahinge.wire.generated.Frame;
 import org.galenahinge.wire.generated.GroupDigest;
-import org.galenahinge.wire.generated.Peer;
-import org.galenahinge.wire.generated.SlotState;
 import org.galenahinge.wire.generated.TicketDigest;
 import org.galenahinge.wire.generated.TicketRequest;
 import org.jboss.logging.Logger;
@@ -52,8 +47,6 @@
     private static final Logger LOG = Logger.getLogger(TicketController.class);
     private static final int QUEUE_CAPACITY = 4_096;
     private static final int WATCHERS_PER_FAILURE_DOMAIN = 2;
-    private static final int MAXIMUM_REJECTIONS_KEPT = 1_000;
-    private static final int MAXIMUM_TICKETS_IN_HISTORY = 20_000;
     private static final Duration MINIMUM_TICK_INTERVAL = Duration.ofMillis(100);
     private static final Duration IDLE_TICK_INTERVAL = Duration.ofMillis(500);
     private static final Duration MAXIMUM_WATCH_DURATION = Duration.ofSeconds(20);
@@ -65,16 +58,14 @@
     private final Vm self;
     private final ConfigurationClient configuration;
     private final Supplier<List<WireConnection>> entryConnections;
-    private final SlotDirectory slots;
     private final Predicate<String> isUsableEntry;
     private final DecisionLog decisions;
     private final Runnable onChange;
     private final Random random = new Random();
     private final Controller<TicketEvent> controller;
     private final Counter reads;
-    private final Map<Long, String> rejections = new TreeMap<>();
-    private final Map<WireConnection, SlotPush> pushes = new HashMap<>();
-    private final ConcurrentNavigableMap<Long, List<String>> history = new ConcurrentSkipListMap<>();
+    private final TicketHistory history = new TicketHistory();
+    private final TicketPush push;
     private TicketState state = TicketState.empty();
     private Fleet fleet = Fleet.empty();
     private long epoch;
@@ -84,7 +75,6 @@
     private long backoffNanos = MINIMUM_BACKOFF_NANOS;
     private long nextCompareNanos = System.nanoTime();
     private volatile TicketState snapshot = TicketState.empty();
-    private volatile Map<Long, String> rejectionSnapshot = Map.of();
     private volatile boolean readCompletely;
     private volatile boolean synchronizedWithPeer;
 
@@ -100,7 +90,7 @@
         this.self = self;
         this.configuration = configuration;
         this.entryConnections = entryConnections;
-        this.slots = slots;
+        this.push = new TicketPush(slots);
         this.isUsableEntry = isUsableEntry;
         this.decisions = decisions;
         this.onChange = onChange;
@@ -138,15 +128,15 @@
 
     /** Returns why a ticket with this number was rejected, for operators; empty if none was. */
     Optional<String> rejectionOf(long number) {
-        return Optional.ofNullable(rejectionSnapshot.get(number));
+        return history.rejectionOf(number);
     }
 
     /**
      * Returns the groups that a ticket changes, for operators; empty if this entry never received it, or received
-     * {@value #MAXIMUM_TICKETS_IN_HISTORY} or more tickets with higher numbers.
+     * {@value TicketHistory#MAXIMUM_TICKETS} or more tickets with higher numbers.
      */
     List<String> groupsOf(long number) {
-        return history.getOrDefault(number, List.of());
+        return history.groupsOf(number);
     }
 
     /** Tells whether the configuration service has been read completely since the start. */
@@ -186,10 +176,10 @@
         } else if (event instanceof TicketEvent.TicketsRequested requested) {
             sendRequested(requested);
         } else if (event instanceof TicketEvent.SlotReported reported) {
-            pushTo(reported.connection(), reported.state());
+            push.slotReported(reported.connection(), reported.state(), state, fleet);
         } else if (event instanceof TicketEvent.FleetChanged fleetChanged) {
             fleet = fleetChanged.fleet();
-            pushToAllSlots();
+            push.toAll(state, fleet);
         } else if (event instanceof TicketEvent.MembershipRejoined) {
             nextCompareNanos = System.nanoTime();
         } else if (event instanceof TicketEvent.EntryConnected connected) {
@@ -206,7 +196,7 @@
         if (now - nextCompareNanos >= 0) {
             nextCompareNanos = now + COMPARE_INTERVAL_NANOS;
             compareWithRandomEntry();
-            pushToAllSlots();
+            push.toAll(state, fleet);
         }
         return readPending || readCompletely ? IDLE_TICK_INTERVAL : MINIMUM_TICK_INTERVAL;
     }
@@ -275,7 +265,7 @@
                 .toList();
         Frame announcement = TicketFrames.digest(groups, false);
         entryConnections.get().forEach(connection -> connection.send(announcement));
-        pushToAllSlots();
+        push.toAll(state, fleet);
     }
 
     private void merge(String text, String source, Set<String> changedGroups) {
@@ -286,9 +276,9 @@
         }
         Ticket ticket = ((TicketResult.Valid) result).ticket();
         TicketState.Merge merge = state.merge(ticket);
-        addToHistory(ticket);
+        history.add(ticket);
         if (merge.outcome() == TicketState.Outcome.NUMBER_TAKEN) {
-            recordNumberConflict(ticket);
+            history.recordNumberConflict(ticket);
         }
         if (merge.state() == state) {
             return;
@@ -298,24 +288,6 @@
         decisions.record("ticket-" + ticket.number(), "ticket", List.of(), "in force", "merged from " + source);
     }
 
-    private void addToHistory(Ticket ticket) {
-        history.put(
-                ticket.number(),
-                ticket.groups().stream().map(TicketGroup::group).toList());
-        while (history.size() > MAXIMUM_TICKETS_IN_HISTORY) {
-            history.pollFirstEntry();
-        }
-    }
-
-    private void recordNumberConflict(Ticket ticket) {
-        rejections.put(ticket.number(), "number taken: two tickets have it, with different content");
-        while (rejections.size() > MAXIMUM_REJECTIONS_KEPT) {
-            rejections.remove(rejections.keySet().iterator().next());
-        }
-        rejectionSnapshot = Map.copyOf(rejections);
-        LOG.warnf("ticket %d was published twice with different content", ticket.number());
-    }
-
     private void compareWithRandomEntry() {
         List<WireConnection> connections = entryConnections.get();
         if (connections.isEmpty()) {
@@ -378,60 +350,4 @@
         }
         requested.connection().send(TicketFrames.delivery(List.copyOf(wanted.values()), List.of()));
     }
-
-    private void pushToAllSlots() {
-        pushes.keySet().removeIf(connection -> !connection.isOpen());
-        pushes.forEach((connection, push) -> pushTo(connection, push.reportedState));
-    }
-
-    /** Sends a slot process the tickets that concern it and that it lacks, and the VMs of its group if they changed. */
-    private void pushTo(WireConnection connection, SlotState reported) {
-        SlotPush push = pushes.computeIfAbsent(connection, key -> new SlotPush());
-        push.reportedState = reported;
-        Map<String, GroupDigest> held = new HashMap<>();
-        reported.getGroupsList().forEach(group -> held.put(group.getGroup(), group));
-        Map<Long, Ticket> missing = new TreeMap<>();
-        for (EffectiveGroup group : state.effectiveGroups()) {
-            String name = group.content().group();
-            boolean relevant = held.containsKey(name) || group.content().vms().contains(reported.getVm());
-            if (relevant && TicketFrames.isOlder(held.get(name), group.ticket())) {
-                missing.put(group.ticket().number(), group.ticket());
-            }
-        }
-        List<Peer> peers = peersOf(reported.getVm());
-        if (missing.isEmpty() && peers.equals(push.sentPeers)) {
-            return;
-        }
-        if (connection.send(TicketFrames.delivery(List.copyOf(missing.values()), peers))) {
-            push.sentPeers = peers;
-        }
-    }
-
-    private List<Peer> peersOf(String vm) {
-        Optional<EffectiveGroup> group = state.groupOf(vm);
-        if (group.isEmpty()) {
-            return List.of();
-        }
-        return group.get().content().vms().stream()
-                .filter(name -> !slots.isUnreachable(name))
-                .flatMap(name -> fleet.find(name).stream())
-                .map(TicketController::peer)
-                .toList();
-    }
-
-    private static Peer peer(Vm vm) {
-        return Peer.newBuilder()
-                .setVm(vm.name())
-                .setAddress(vm.address())
-                .setWirePort(vm.wirePort())
-                .setRegion(vm.region())
-                .setFailureDomain(vm.failureDomain())
-                .build();
-    }
-
-    /** The last state that a slot process reported and the peers last sent to it. */
-    private static final class SlotPush {
-        private SlotState reportedState = SlotState.getDefaultInstance();
-        private List<Peer> sentPeers = List.of();
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -340,8 +340,7 @@
         if (asOf - factsAsOfNanos > 0) {
             factsAsOfNanos = asOf;
         }
-        // This result may already remove upstream records that expired during the outage, so their grace period must
-        // start
+        // This result may already remove upstream records that expired or were lost, so their grace period must start
         // before the listener runs.
         if (restored || (storeWasUnavailable && age().compareTo(STORE_OUTAGE_AFTER) < 0)) {
             storeRecovered.run();
