--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -89,7 +89,7 @@
             applied.add(removal);
         }
         applied.addAll(merge(snapshot, takenAt, false));
-        return applied;
+        return ordered(applied);
     }
 
     /**
@@ -119,7 +119,7 @@
             }
         }
         applied.addAll(mergeSnapshot(snapshot, takenAt));
-        return applied;
+        return ordered(applied);
     }
 
     /**
@@ -206,8 +206,11 @@
             retainEarlierEpochs();
         }
         dropOldRemovals();
-        applied.sort(Comparator.comparing(FactItem::position));
-        return applied;
+        return ordered(applied);
+    }
+
+    private static List<FactItem> ordered(List<FactItem> changes) {
+        return changes.stream().sorted(Comparator.comparing(FactItem::position)).toList();
     }
 
     private static boolean isRetainedRemoval(FactItem item) {
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
@@ -48,6 +48,14 @@
         assertThat(presentItems(log)).containsExactlyInAnyOrder(item("other", 3), item("new", 12));
     }
 
+    /** Guards against removals that come before the changes of the same snapshot. */
+    @Test
+    void returnsTheChangesOfASnapshotOrderedByPosition() {
+        log.merge(List.of(item("lacking", 5)), at(5));
+        assertThat(log.mergeSnapshot(List.of(item("later", 8), item("earlier", 7)), at(10)))
+                .containsExactly(item("earlier", 7), item("later", 8), removed("lacking", 10));
+    }
+
     @Test
     void anOlderCopyDoesNotRestoreARemovedItem() {
         log.merge(List.of(item("key", 5)), at(5));
