Name the parts and the identity of a request instead of taking the last of a list

RequestTraits was a list whose last element was the request as a whole, which ForwardedRequest had to know; it is a record now, and the attempt names its identity to the log as it names its upstream, so that attempt_failed needs no parameter for it. No behaviour changes: the same traits are recorded, decided by and logged.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -198,6 +198,11 @@
         return candidate.upstream().id();
     }
 
+    /** Returns the request that it runs, as a whole. */
+    RequestTrait identity() {
+        return request.traits().identity();
+    }
+
     boolean isSent() {
         return sent;
     }
@@ -372,22 +377,20 @@
 
     /** The parts of a prompt crash an engine before the first event, or not at all. */
     private void recordFirstEvent() {
-        request.gateway()
-                .crashLedger()
-                .recordServed(request.callerRequest().metadata().sharedParts(), now());
+        request.gateway().crashLedger().recordServed(request.traits().sharedParts(), now());
     }
 
     /** A response that ends with its connection looks complete also where its upstream crashed. */
     private void recordComplete() {
         if (endsWithConnection) {
-            recordLostConnection(List.of(request.identity()));
+            recordLostConnection(List.of(identity()));
         } else {
-            request.gateway().crashLedger().recordServed(List.of(request.identity()), now());
+            request.gateway().crashLedger().recordServed(List.of(identity()), now());
         }
     }
 
     private void recordLostConnection() {
-        recordLostConnection(events == 0 ? request.traits() : List.of(request.identity()));
+        recordLostConnection(events == 0 ? request.traits().all() : List.of(identity()));
     }
 
     private void recordLostConnection(List<RequestTrait> traits) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -23,7 +23,6 @@
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.RetryPolicy.Progress;
 import org.galenahinge.quarantine.CrashLedger;
-import org.galenahinge.quarantine.RequestTrait;
 import org.galenahinge.upstream.UpstreamPool;
 
 /**
@@ -51,7 +50,7 @@
     private final Set<String> triedUpstreams = new HashSet<>();
     private AdmittedRequest admitted;
     private ServiceQueue queue;
-    private List<RequestTrait> traits = List.of();
+    private RequestTraits traits;
     private RequestDeadlines deadlines;
     private Optional<Timer> timeoutTimer = Optional.empty();
     private Optional<Attempt> currentAttempt = Optional.empty();
@@ -86,8 +85,8 @@
             return;
         }
         admitted = ((RequestChecks.Result.Admitted) result).request();
-        requestLog.setAdmitted(admitted);
         traits = RequestTraits.of(request, admitted);
+        requestLog.setAdmitted(admitted);
         queue = gateway.serviceQueue(admitted.service());
         queue.retryBudget().recordRequest(gateway.timers().nanoTime());
         deadlines = RequestDeadlines.of(request, admitted.route());
@@ -183,16 +182,11 @@
         lastEventId = Optional.of(eventId);
     }
 
-    /** Returns what may make this request crash upstreams: the parts of its prompt, and the request as a whole. */
-    List<RequestTrait> traits() {
+    /** Returns what may make this request crash upstreams. */
+    RequestTraits traits() {
         return traits;
     }
 
-    /** Returns the request as a whole, which is the same trait for each repetition by its caller. */
-    RequestTrait identity() {
-        return traits.get(traits.size() - 1);
-    }
-
     Duration remainingTime() {
         return deadlines.remaining(gateway.timers().nanoTime());
     }
@@ -219,7 +213,7 @@
         Next next = RetryPolicy.decide(progress(), outcome);
         mayHaveRun |= outcome == Outcome.UNKNOWN || outcome == Outcome.FAILED;
         long budgetLeft = (long) queue.retryBudget().remaining(gateway.nodes());
-        requestLog.attemptFailed(done, outcome, detail, next, identity(), attempts, budgetLeft);
+        requestLog.attemptFailed(done, outcome, detail, next, attempts, budgetLeft);
         switch (next) {
             case SEND_AGAIN -> place();
             case REFUSE ->
@@ -403,7 +397,7 @@
             return false;
         }
         CrashLedger.Decision decision =
-                gateway.crashLedger().decide(traits(), gateway.timers().nanoTime());
+                gateway.crashLedger().decide(traits.all(), gateway.timers().nanoTime());
         onTrial = decision == CrashLedger.Decision.TRIAL;
         return decision == CrashLedger.Decision.QUARANTINED;
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
@@ -56,14 +56,7 @@
                 .write();
     }
 
-    void attemptFailed(
-            Attempt done,
-            Outcome outcome,
-            String detail,
-            Next next,
-            RequestTrait identity,
-            int attempts,
-            long budgetLeft) {
+    void attemptFailed(Attempt done, Outcome outcome, String detail, Next next, int attempts, long budgetLeft) {
         line(Category.FAILURE, "attempt_failed")
                 .with("upstream", done.upstreamId())
                 .with("outcome", outcome.name())
@@ -73,7 +66,7 @@
                 .with("after_ms", done.ageMillis())
                 .with("events", done.events())
                 .with("parts", parts())
-                .with("identity", identity.toString())
+                .with("identity", done.identity().toString())
                 .with("budget_left", budgetLeft)
                 .write();
     }
