--- a/review/stand-ins/review/ConsumerChannel.java
+++ b/review/stand-ins/review/ConsumerChannel.java
@@ -54,6 +54,11 @@
         return Message.read(input, 0);
     }
 
+    /** Reads an answer with a pause after each read of at most 8 KB. */
+    public Message readAnswer(int pauseMillis) throws IOException {
+        return Message.read(input, pauseMillis);
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
