--- a/review/stand-ins/review/Deployment.java
+++ b/review/stand-ins/review/Deployment.java
@@ -11,7 +11,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -33,6 +35,7 @@
     private final Path folder = Files.createTempDirectory("review-case");
     private final List<Entry> entries = new ArrayList<>();
     private final List<Process> slots = new ArrayList<>();
+    private final Map<ModelServerStandIn, Process> slotOfServer = new HashMap<>();
     private final int firstPort = freePorts();
     private int machines;
     private final CaseRecord record;
@@ -115,12 +118,19 @@
         return server;
     }
 
+    /** Returns the slot process beside a model server. */
+    public Process slotOf(ModelServerStandIn server) {
+        return slotOfServer.get(server);
+    }
+
     /** Starts a model server with its slot process, on a machine of their own. */
     public ModelServerStandIn startModelServer(String id, long version, ServerStandIn.Work work) throws IOException {
         String ip = nextAddress();
         ModelServerStandIn server = new ModelServerStandIn(id, ip, version, store, record, work);
         String name = "side-" + id;
-        slots.add(startProcess("slot", name, slotSettings(name, ip, server.address())));
+        Process slot = startProcess("slot", name, slotSettings(name, ip, server.address()));
+        slots.add(slot);
+        slotOfServer.put(server, slot);
         record.line("started " + name + " at " + ip);
         return server;
     }
--- a/review/stand-ins/review/ModelServerStandIn.java
+++ b/review/stand-ins/review/ModelServerStandIn.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -13,6 +15,8 @@
 public final class ModelServerStandIn {
     private static final Pattern VERSION = Pattern.compile("\"version\":(\\d+)");
     private static final int LAYERS = 16;
+    /** A piece that has turned bad within this time before the order does not count. */
+    private static final Duration EXCUSED_AGE = Duration.ofSeconds(3);
 
     private final StoreStandIn store;
     private final CaseRecord record;
@@ -20,6 +24,10 @@
     private final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
     private volatile long version;
     private volatile int accepted;
+    private volatile boolean loadedWhole = true;
+    private volatile long spoiltNanos;
+    private volatile Runnable onWholeReadBack = () -> {};
+    private final Set<Integer> readBack = ConcurrentHashMap.newKeySet();
 
     ModelServerStandIn(
             String id, String ip, long version, StoreStandIn store, CaseRecord record, ServerStandIn.Work work)
@@ -46,6 +54,33 @@
         return version;
     }
 
+    /** Tells whether the version that it holds was whole when it was loaded. */
+    public boolean loadedWhole() {
+        return loadedWhole;
+    }
+
+    /** Sets an action that runs once, when all staged pieces have been read back in one pass. */
+    public void onWholeReadBack(Runnable action) {
+        onWholeReadBack = action;
+    }
+
+    /** Turns a staged piece bad. */
+    public void spoil(int number) {
+        byte[] bad = staged.get(number).clone();
+        bad[0] ^= 1;
+        staged.put(number, bad);
+        spoiltNanos = System.nanoTime();
+    }
+
+    private void readBack(int number) {
+        readBack.add(number);
+        if (readBack.size() == OriginStandIn.PIECES) {
+            Runnable action = onWholeReadBack;
+            onWholeReadBack = () -> {};
+            action.run();
+        }
+    }
+
     private String weights() {
         if (version == 0) {
             return "\"models\":[],\"layers\":null";
@@ -68,8 +103,11 @@
         }
         version = Long.parseLong(named.group(1));
         accepted++;
+        boolean whole = isStagedWhole();
+        boolean excused = System.nanoTime() - spoiltNanos < EXCUSED_AGE.toNanos();
+        loadedWhole = whole || excused;
         record.line("server " + server.key() + " loads version " + version + ", staged pieces are "
-                + (isStagedWhole() ? "whole" : "NOT WHOLE"));
+                + (whole ? "whole" : excused ? "not whole for less than 3 s" : "NOT WHOLE for more than 3 s"));
         store.put(server.key(), server.storeRecord());
         answer.whole(202, "");
     }
@@ -95,13 +133,18 @@
             if (call.path().equals("/galenahinge/report")) {
                 answer.whole(200, report());
             } else if (call.path().startsWith("/galenahinge/stage-put/")) {
+                readBack.clear();
                 staged.put((int) Query.number(call.path(), "num"), call.body());
                 answer.whole(200, "");
             } else if (call.path().startsWith("/galenahinge/stage-get/")) {
-                byte[] piece = staged.get((int) Query.number(call.path(), "num"));
+                int number = (int) Query.number(call.path(), "num");
+                byte[] piece = staged.get(number);
                 answer.whole(
                         piece == null ? 404 : 200,
                         piece == null ? "" : new String(piece, StandardCharsets.ISO_8859_1));
+                if (piece != null) {
+                    readBack(number);
+                }
             } else {
                 order(call, answer);
             }
--- a/review/stand-ins/review/ServerStandIn.java
+++ b/review/stand-ins/review/ServerStandIn.java
@@ -152,6 +152,12 @@
             write(head(status, "Content-Type: text/plain\r\nContent-Length: " + body.length() + "\r\n") + body);
         }
 
+        /** Refuses the request, which does not run, and names a time in seconds after which the server wants requests. */
+        public void refuse(String retryAfterSeconds) throws IOException {
+            write("HTTP/1.1 503 Status\r\nAttempt-Id: " + requestId + "\r\nNot-Executed: 1\r\nRetry-After: "
+                    + retryAfterSeconds + "\r\nContent-Length: 0\r\n\r\n");
+        }
+
         /** Begins a stream of events in chunks. */
         public void beginStream() throws IOException {
             write(head(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
