--- a/review/stand-ins/review/ConsumerChannel.java
+++ b/review/stand-ins/review/ConsumerChannel.java
@@ -15,14 +15,6 @@
     private final InputStream input;
 
     public ConsumerChannel(InetSocketAddress entry) throws IOException {
-        this(entry, 0);
-    }
-
-    /** Opens a channel with a receive buffer of a size; 0 for the usual one. */
-    public ConsumerChannel(InetSocketAddress entry, int receiveBufferBytes) throws IOException {
-        if (receiveBufferBytes > 0) {
-            socket.setReceiveBufferSize(receiveBufferBytes);
-        }
         socket.setTcpNoDelay(true);
         socket.connect(entry, 1_000);
         socket.setSoTimeout(TIMEOUT_MILLIS);
@@ -51,12 +43,7 @@
 
     /** Reads an answer; returns null if the channel ends before its first byte. */
     public Message readAnswer() throws IOException {
-        return Message.read(input, 0);
-    }
-
-    /** Reads an answer with a pause after each read of at most 8 KB. */
-    public Message readAnswer(int pauseMillis) throws IOException {
-        return Message.read(input, pauseMillis);
+        return Message.read(input);
     }
 
     @Override
--- a/review/stand-ins/review/Deployment.java
+++ b/review/stand-ins/review/Deployment.java
@@ -42,6 +42,7 @@
 
     public Deployment(CaseRecord record) throws IOException {
         this.record = record;
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
     }
 
     /** A running entry. */
@@ -180,8 +181,7 @@
 
     @Override
     public void close() throws IOException {
-        slots.forEach(Process::destroyForcibly);
-        entries.forEach(entry -> entry.process.destroyForcibly());
+        endProcesses();
         for (Process slot : slots) {
             awaitEnd(slot);
         }
@@ -194,6 +194,11 @@
         }
     }
 
+    private void endProcesses() {
+        slots.forEach(Process::destroyForcibly);
+        entries.forEach(entry -> entry.process.destroyForcibly());
+    }
+
     private static void awaitEnd(Process process) {
         try {
             process.waitFor(5, TimeUnit.SECONDS);
--- a/review/stand-ins/review/Message.java
+++ b/review/stand-ins/review/Message.java
@@ -20,7 +20,7 @@
 public record Message(String startLine, Map<String, String> headers, byte[] body, boolean complete) {
 
     /** Reads a message; returns null if the peer closed before its first byte. */
-    public static Message read(InputStream input, int slowPauseMillis) throws IOException {
+    public static Message read(InputStream input) throws IOException {
         String start = readLine(input);
         if (start == null) {
             return null;
@@ -29,7 +29,7 @@
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         boolean complete;
         try {
-            complete = readBody(input, headers, body, slowPauseMillis);
+            complete = readBody(input, headers, body);
         } catch (IOException e) {
             complete = false;
         }
@@ -66,24 +66,22 @@
         }
     }
 
-    private static boolean readBody(
-            InputStream input, Map<String, String> headers, ByteArrayOutputStream body, int slowPauseMillis)
+    private static boolean readBody(InputStream input, Map<String, String> headers, ByteArrayOutputStream body)
             throws IOException {
         if (headers.getOrDefault("transfer-encoding", "").equalsIgnoreCase("chunked")) {
-            return readChunks(input, body, slowPauseMillis);
+            return readChunks(input, body);
         }
-        return readExactly(input, body, Integer.parseInt(headers.getOrDefault("content-length", "0")), slowPauseMillis);
+        return readExactly(input, body, Integer.parseInt(headers.getOrDefault("content-length", "0")));
     }
 
-    private static boolean readChunks(InputStream input, ByteArrayOutputStream body, int slowPauseMillis)
-            throws IOException {
+    private static boolean readChunks(InputStream input, ByteArrayOutputStream body) throws IOException {
         while (true) {
             String line = readLine(input);
             if (line == null) {
                 return false;
             }
             int length = Integer.parseInt(line.strip(), 16);
-            if (!readExactly(input, body, length, slowPauseMillis)) {
+            if (!readExactly(input, body, length)) {
                 return false;
             }
             readLine(input);
@@ -93,8 +91,7 @@
         }
     }
 
-    private static boolean readExactly(
-            InputStream input, ByteArrayOutputStream body, int length, int slowPauseMillis) throws IOException {
+    private static boolean readExactly(InputStream input, ByteArrayOutputStream body, int length) throws IOException {
         byte[] part = new byte[8 << 10];
         for (int left = length; left > 0; ) {
             int count = input.read(part, 0, Math.min(part.length, left));
@@ -103,7 +100,6 @@
             }
             body.write(part, 0, count);
             left -= count;
-            Pause.millis(slowPauseMillis);
         }
         return true;
     }
--- a/review/stand-ins/review/ServerStandIn.java
+++ b/review/stand-ins/review/ServerStandIn.java
@@ -96,7 +96,7 @@
         try (channel) {
             channel.setTcpNoDelay(true);
             InputStream input = new BufferedInputStream(channel.getInputStream(), 64 << 10);
-            for (Message request = Message.read(input, 0); request != null; request = Message.read(input, 0)) {
+            for (Message request = Message.read(input); request != null; request = Message.read(input)) {
                 if (!request.complete()) {
                     return;
                 }
