--- a/review/stand-ins/review/Deployment.java
+++ b/review/stand-ins/review/Deployment.java
@@ -11,7 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -34,8 +34,7 @@
     private final StoreStandIn store = new StoreStandIn();
     private final Path folder = Files.createTempDirectory("review-case");
     private final List<Entry> entries = new ArrayList<>();
-    private final List<Process> slots = new ArrayList<>();
-    private final Map<ModelServerStandIn, Process> slotOfServer = new HashMap<>();
+    private final Map<ModelServerStandIn, Slot> slots = new LinkedHashMap<>();
     private final int firstPort = freePorts();
     private int machines;
     private final CaseRecord record;
@@ -49,11 +48,15 @@
     public final class Entry {
         private final String name;
         private final String ip;
-        private final Process process;
+        private volatile Process process;
 
         private Entry(String name, String ip) throws IOException {
             this.name = name;
             this.ip = ip;
+            start();
+        }
+
+        private void start() throws IOException {
             process = startProcess("entry", name, entrySettings(name, ip));
         }
 
@@ -100,6 +103,23 @@
         }
     }
 
+    /** A slot process and its settings. */
+    private final class Slot {
+        private final String name;
+        private final String settings;
+        private volatile Process process;
+
+        Slot(String name, String settings) throws IOException {
+            this.name = name;
+            this.settings = settings;
+            start();
+        }
+
+        void start() throws IOException {
+            process = startProcess("slot", name, settings);
+        }
+    }
+
     public StoreStandIn store() {
         return store;
     }
@@ -119,9 +139,24 @@
         return server;
     }
 
+    /** Kills all processes of the system, entries and slot processes alike, and starts them again after a time. */
+    public void killAll(long downMillis) throws IOException {
+        record.line("all processes are killed");
+        endProcesses();
+        awaitEnds();
+        Pause.millis(downMillis);
+        for (Entry entry : entries) {
+            entry.start();
+        }
+        for (Slot slot : slots.values()) {
+            slot.start();
+        }
+        record.line("all processes start again");
+    }
+
     /** Returns the slot process beside a model server. */
     public Process slotOf(ModelServerStandIn server) {
-        return slotOfServer.get(server);
+        return slots.get(server).process;
     }
 
     /** Starts a model server with its slot process, on a machine of their own. */
@@ -129,9 +164,7 @@
         String ip = nextAddress();
         ModelServerStandIn server = new ModelServerStandIn(id, ip, version, store, record, work);
         String name = "side-" + id;
-        Process slot = startProcess("slot", name, slotSettings(name, ip, server.address()));
-        slots.add(slot);
-        slotOfServer.put(server, slot);
+        slots.put(server, new Slot(name, slotSettings(name, ip, server.address())));
         record.line("started " + name + " at " + ip);
         return server;
     }
@@ -182,12 +215,7 @@
     @Override
     public void close() throws IOException {
         endProcesses();
-        for (Process slot : slots) {
-            awaitEnd(slot);
-        }
-        for (Entry entry : entries) {
-            awaitEnd(entry.process);
-        }
+        awaitEnds();
         store.close();
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
@@ -195,10 +223,15 @@
     }
 
     private void endProcesses() {
-        slots.forEach(Process::destroyForcibly);
+        slots.values().forEach(slot -> slot.process.destroyForcibly());
         entries.forEach(entry -> entry.process.destroyForcibly());
     }
 
+    private void awaitEnds() {
+        slots.values().forEach(slot -> awaitEnd(slot.process));
+        entries.forEach(entry -> awaitEnd(entry.process));
+    }
+
     private static void awaitEnd(Process process) {
         try {
             process.waitFor(5, TimeUnit.SECONDS);
@@ -221,7 +254,8 @@
         Files.writeString(file, settings);
         ProcessBuilder builder = new ProcessBuilder(command(role));
         builder.environment().put("GALENAHINGE_CONFIG", file.toString());
-        builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.redirectErrorStream(true).redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         return builder.start();
     }
 
