--- a/galenahinge/src/main/java/org/galenahinge/http/Exchange.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/Exchange.java
@@ -1,35 +1,25 @@
 package org.galenahinge.http;
 
-import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
-import java.util.Iterator;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
 import org.galenahinge.wire.NetworkThreads;
 
 /**
@@ -44,12 +34,21 @@
  * </pre>
  */
 public final class Exchange {
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_500);
 
+    private final EventLoop loop;
+    private final URI server;
+    private final Request request;
+    private final Listener listener;
     private volatile boolean closed;
-    private volatile Optional<Channel> channel = Optional.empty();
+    private volatile Optional<HttpConnection> connection = Optional.empty();
 
-    private Exchange() {}
+    private Exchange(EventLoop loop, URI server, Request request, Listener listener) {
+        this.loop = loop;
+        this.server = server;
+        this.request = request;
+        this.listener = listener;
+    }
 
     /**
      * An HTTP request.
@@ -85,7 +84,7 @@
 
     /**
      * Receives the response, on a network thread. Exactly one of {@link #onComplete}, {@link #onNotSent} and
-     * {@link #onFailure} is called, as the last method.
+     * {@link #onFailure} is called, as the last method, unless {@link Exchange#close} is called before.
      */
     public interface Listener {
         /**
@@ -144,41 +143,46 @@
      * @return the running exchange
      */
     public static Exchange send(NetworkThreads threads, URI server, Request request, Listener listener) {
-        Objects.requireNonNull(request, "request");
-        Objects.requireNonNull(listener, "listener");
-        Exchange exchange = new Exchange();
-        Bootstrap bootstrap = new Bootstrap()
-                .group(threads.group())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel opened) {
-                        opened.pipeline().addLast(new HttpClientCodec()).addLast(new ResponseHandler(listener));
-                    }
-                });
-        bootstrap.connect(server.getHost(), server.getPort()).addListener(done -> {
-            if (done.isSuccess()) {
-                exchange.connected(((ChannelFuture) done).channel(), server, request, listener);
-            } else {
-                listener.onNotSent(ErrorText.of(done.cause()));
-            }
-        });
+        EventLoop loop = threads.group().next();
+        Exchange exchange = new Exchange(
+                loop, server, Objects.requireNonNull(request, "request"), Objects.requireNonNull(listener, "listener"));
+        try {
+            loop.execute(exchange::open);
+        } catch (RejectedExecutionException e) {
+            listener.onNotSent("the process is stopping");
+        }
         return exchange;
     }
 
     /** Closes the connection. A server that watches for disconnects then cancels the request. */
     public void close() {
         closed = true;
-        channel.ifPresent(Channel::close);
+        connection.ifPresent(open -> {
+            if (!loop.isShutdown()) {
+                loop.execute(open::close);
+            }
+        });
     }
 
-    private void connected(Channel opened, URI server, Request request, Listener listener) {
-        channel = Optional.of(opened);
+    private void open() {
+        InetSocketAddress address = InetSocketAddress.createUnresolved(server.getHost(), server.getPort());
+        HttpConnection.open(
+                loop, UnpooledByteBufAllocator.DEFAULT, address, CONNECT_TIMEOUT, new HttpConnection.ConnectListener() {
+                    @Override
+                    public void onConnected(HttpConnection opened) {
+                        connected(opened);
+                    }
+
+                    @Override
+                    public void onConnectFailed(String detail) {
+                        listener.onNotSent(detail);
+                    }
+                });
+    }
+
+    private void connected(HttpConnection opened) {
+        connection = Optional.of(opened);
         if (closed) {
-            opened.pipeline().remove(ResponseHandler.class);
             opened.close();
             listener.onNotSent("the exchange was closed before the request was sent");
             return;
@@ -190,77 +194,40 @@
                 .set(HttpHeaderNames.HOST, server.getAuthority())
                 .set(HttpHeaderNames.CONTENT_LENGTH, request.length())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        opened.write(head);
-        writeNext(opened, request.body().iterator());
-    }
-
-    /** Writes each part only after the one before has been sent, so that a large body does not pile up in the send buffer. */
-    private static void writeNext(Channel opened, Iterator<byte[]> parts) {
-        if (!parts.hasNext()) {
-            opened.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            return;
-        }
-        opened.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(parts.next())))
-                .addListener(sent -> {
-                    if (sent.isSuccess()) {
-                        writeNext(opened, parts);
-                    }
-                });
+        List<ByteBuf> body =
+                request.body().stream().map(Unpooled::wrappedBuffer).toList();
+        opened.send(head, body, new ResponseListener(opened));
     }
 
-    private static final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
-        private final Listener listener;
-        private boolean ended;
+    /** Passes the response on, and closes the connection after it. */
+    private final class ResponseListener implements HttpConnection.Listener {
+        private final HttpConnection opened;
 
-        ResponseHandler(Listener listener) {
-            super(HttpObject.class);
-            this.listener = listener;
+        ResponseListener(HttpConnection opened) {
+            this.opened = opened;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (ended) {
-                return;
-            }
-            if (message.decoderResult().isFailure()) {
-                fail(context, "the response is malformed");
-                return;
-            }
-            if (message instanceof HttpResponse response) {
-                listener.onHead(
-                        response.status().code(),
-                        name -> Optional.ofNullable(response.headers().get(name)));
-            }
-            if (message instanceof HttpContent content && content.content().isReadable()) {
-                byte[] bytes = new byte[content.content().readableBytes()];
-                content.content().readBytes(bytes);
-                listener.onBodyPart(bytes);
-            }
-            if (message instanceof LastHttpContent) {
-                ended = true;
-                listener.onComplete();
-                context.close();
-            }
+        public void onHead(HttpResponse response) {
+            listener.onHead(
+                    response.status().code(),
+                    name -> Optional.ofNullable(response.headers().get(name)));
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            fail(context, "the connection was closed before the response was complete");
+        public void onBodyPart(ByteBuf content) {
+            listener.onBodyPart(ByteBufUtil.getBytes(content));
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            boolean network = cause instanceof IOException;
-            fail(context, network ? ErrorText.of(cause) : "error while reading the response: " + cause);
+        public void onComplete() {
+            opened.close();
+            listener.onComplete();
         }
 
-        private void fail(ChannelHandlerContext context, String detail) {
-            if (ended) {
-                return;
-            }
-            ended = true;
+        @Override
+        public void onFailure(String detail) {
             listener.onFailure(detail);
-            context.close();
         }
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,8 +12,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,6 +30,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -33,6 +40,10 @@
  *
  * <p>The connection is closed when bytes arrive while no request is running or together with the end of a response, and
  * when a response is malformed, so that leftover bytes are never read as the response to a later request.
+ *
+ * <p>A response is complete when its length or its last chunk says so. One that has neither is complete when the server
+ * has ended its output in an orderly way and the whole request has been written: every other end of the connection,
+ * however it is reported, is a failure.
  */
 public final class HttpConnection {
     private static final int MAXIMUM_STATUS_LINE_BYTES = 8 << 10;
@@ -48,8 +59,9 @@
     private int informationalResponses;
     private boolean headReceived;
     private boolean keepAlive;
-    private boolean lengthDelimited;
-    private boolean readFailed;
+    private boolean endsWithConnection;
+    private boolean inputEnded;
+    private boolean bodyEnded;
     private boolean requestWritten;
     private long idleSinceNanos;
     private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
@@ -119,6 +131,15 @@
      */
     public static void open(
             EventLoop loop, InetSocketAddress server, Duration timeout, ConnectListener connectListener) {
+        open(loop, ByteBufAllocator.DEFAULT, server, timeout, connectListener);
+    }
+
+    static void open(
+            EventLoop loop,
+            ByteBufAllocator allocator,
+            InetSocketAddress server,
+            Duration timeout,
+            ConnectListener connectListener) {
         Objects.requireNonNull(connectListener, "connectListener");
         ResponseHandler receiver = new ResponseHandler();
         ResponseDecoder decoder =
@@ -127,12 +148,15 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, allocator)
+                // Only so is the end of the server's output told apart from the loss of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new UnexpectedBytesHandler(receiver))
+                                .addLast(new InputHandler(receiver))
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(receiver);
@@ -158,16 +182,58 @@
      * @throws IllegalStateException when a request is running on this connection
      */
     public void send(HttpRequest head, ByteBuf body, Listener newListener) {
+        send(head, List.of(body), newListener);
+    }
+
+    /** Sends a request whose body is in parts; each is written after the one before, so that they do not pile up. */
+    void send(HttpRequest head, List<ByteBuf> body, Listener newListener) {
         if (listener != null) {
             throw new IllegalStateException("a request is already running on this connection");
         }
         listener = Objects.requireNonNull(newListener, "newListener");
         informationalResponses = 0;
         headReceived = false;
+        bodyEnded = false;
         requestWritten = false;
         decoder.expectResponseTo(head.method());
         channel.write(head);
-        channel.writeAndFlush(new DefaultLastHttpContent(body)).addListener(done -> requestWritten = done.isSuccess());
+        writeBody(new ArrayDeque<>(body));
+    }
+
+    private void writeBody(Deque<ByteBuf> parts) {
+        if (parts.size() > 1) {
+            channel.writeAndFlush(new DefaultHttpContent(parts.poll())).addListener(done -> {
+                if (done.isSuccess()) {
+                    writeBody(parts);
+                } else {
+                    parts.forEach(ReferenceCountUtil::release);
+                    requestNotWritten(done.cause());
+                }
+            });
+            return;
+        }
+        ByteBuf last = parts.isEmpty() ? Unpooled.EMPTY_BUFFER : parts.poll();
+        channel.writeAndFlush(new DefaultLastHttpContent(last)).addListener(done -> {
+            if (done.isSuccess()) {
+                requestWritten();
+            } else {
+                requestNotWritten(done.cause());
+            }
+        });
+    }
+
+    private void requestWritten() {
+        requestWritten = true;
+        if (listener != null && bodyEnded) {
+            complete();
+        }
+    }
+
+    /** The channel closes itself when its network fails; anything else that stops a request would leave it open. */
+    private void requestNotWritten(Throwable cause) {
+        if (listener != null && (bodyEnded || !(cause instanceof IOException))) {
+            fail("the request could not be written: " + ErrorText.of(cause));
+        }
     }
 
     /**
@@ -238,7 +304,8 @@
             return;
         }
         headReceived = true;
-        lengthDelimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        boolean lengthDelimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        endsWithConnection = !lengthDelimited && decoder.mayHaveBody(response);
         keepAlive = HttpUtil.isKeepAlive(response) && lengthDelimited;
         keepAliveTimeout = keepAliveTimeoutOf(response);
         listener.onHead(response);
@@ -254,10 +321,21 @@
         if (listener == null || !(content instanceof LastHttpContent)) {
             return;
         }
-        if (!lengthDelimited && readFailed) {
-            fail("the connection was reset");
+        if (!endsWithConnection) {
+            complete();
+            return;
+        }
+        if (!inputEnded) {
+            fail("the connection was lost before the response ended");
             return;
         }
+        bodyEnded = true;
+        if (requestWritten) {
+            complete();
+        }
+    }
+
+    private void complete() {
         Listener completed = listener;
         listener = null;
         idleSinceNanos = System.nanoTime();
@@ -278,7 +356,18 @@
 
     private void closeIdle() {
         channel.close();
-        idleCloseAction.run();
+        Runnable action = idleCloseAction;
+        idleCloseAction = () -> {};
+        action.run();
+    }
+
+    /** Called when the server has ended its output, after the decoder has passed on what that completes. */
+    private void handleInputEnd() {
+        if (listener == null) {
+            closeIdle();
+        } else if (!bodyEnded) {
+            fail("the connection was closed before the response was complete");
+        }
     }
 
     private static Duration keepAliveTimeoutOf(HttpResponse response) {
@@ -297,16 +386,33 @@
     }
 
     /**
-     * Closes a connection that receives bytes while no request is running, before they are decoded: the beginning of a
-     * response would otherwise be completed by what arrives after the next request.
+     * Sees what the channel receives before it is decoded. Notes the orderly end of the server's output, which the decoder
+     * does not tell apart from a lost connection. Closes a connection that receives bytes while no request is running: the
+     * beginning of a response would otherwise be completed by what arrives after the next request.
      */
-    private static final class UnexpectedBytesHandler extends ChannelInboundHandlerAdapter {
+    private static final class InputHandler extends ChannelInboundHandlerAdapter {
         private final ResponseHandler receiver;
+        private boolean failed;
 
-        UnexpectedBytesHandler(ResponseHandler receiver) {
+        InputHandler(ResponseHandler receiver) {
             this.receiver = receiver;
         }
 
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            failed = true;
+            context.fireExceptionCaught(cause);
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == ChannelInputShutdownEvent.INSTANCE && receiver.connection != null) {
+                // The event also follows an error of the network.
+                receiver.connection.inputEnded = !failed;
+            }
+            context.fireUserEventTriggered(event);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object bytes) {
             HttpConnection connection = receiver.connection;
@@ -352,13 +458,24 @@
             }
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event != ChannelInputShutdownEvent.INSTANCE) {
+                return;
+            }
+            if (connection == null) {
+                context.close();
+                return;
+            }
+            connection.handleInputEnd();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (connection == null) {
                 context.close();
                 return;
             }
-            connection.readFailed = true;
             if (connection.listener == null) {
                 connection.closeIdle();
                 return;
--- a/galenahinge/src/main/java/org/galenahinge/http/ResponseDecoder.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/ResponseDecoder.java
@@ -25,6 +25,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns whether a response to the current request may have a body, by its status and the request's method. */
+    boolean mayHaveBody(HttpResponse response) {
+        return !isContentAlwaysEmpty(response);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean informational = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
