--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,6 +56,7 @@
     private long arrivedNanos;
     private boolean reading;
     private boolean processing;
+    private boolean responseWritten = true;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
     private boolean bodyEndsWithConnection;
@@ -82,8 +84,14 @@
         }
     }
 
+    /** Whether no request is being read or forwarded, and all responses have been given to the network. */
     boolean isIdle() {
-        return active.isEmpty() && !reading && queued.isEmpty();
+        return active.isEmpty() && !reading && queued.isEmpty() && responseWritten;
+    }
+
+    /** Ends the request in progress with a response, because the process exits. */
+    void endRequest() {
+        active.ifPresent(ForwardedRequest::processExits);
     }
 
     @Override
@@ -267,13 +275,15 @@
                 .writeComplete(status, headers, Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
     }
 
-    private void responseEnded(boolean keepOpen) {
+    private void responseEnded(ChannelFuture written, boolean keepOpen) {
         active = Optional.empty();
         arrivedNanos = 0;
         reading = false;
         request = null;
+        responseWritten = false;
+        written.addListener(done -> responseWritten = true);
         if (!keepOpen) {
-            closeGracefully();
+            closeAfter(written);
             return;
         }
         startIdleTimer();
@@ -285,12 +295,21 @@
         setTimer(limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::close);
     }
 
-    /** Shuts down the output and reads on briefly, so that bytes still in flight do not reset the connection. */
-    private void closeGracefully() {
+    /** Closes the connection once its caller has taken the last response, or has not for the time of an idle one. */
+    private void closeAfter(ChannelFuture written) {
         closing = true;
         queued.forEach(ReferenceCountUtil::release);
         queued.clear();
         context.channel().config().setAutoRead(true);
+        startIdleTimer();
+        written.addListener(done -> closeGracefully());
+    }
+
+    /** Shuts down the output and reads on briefly, so that bytes still in flight do not reset the connection. */
+    private void closeGracefully() {
+        if (!context.channel().isActive()) {
+            return;
+        }
         if (context.channel() instanceof SocketChannel socket) {
             socket.shutdownOutput();
         }
@@ -343,8 +362,9 @@
                     new DefaultHttpHeaders());
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
             setConnectionHeader(response);
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-            responseEnded(!last);
+            ChannelFuture written = context.writeAndFlush(response);
+            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+            responseEnded(written, !last);
         }
 
         @Override
@@ -379,8 +399,8 @@
             }
             finished = true;
             bodyEndsWithConnection = false;
-            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            responseEnded(!last && chunked);
+            ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            responseEnded(written, !last && chunked);
         }
 
         @Override
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -73,6 +73,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Ends the requests in progress with a response, because the process exits. */
+    public void endRequests() {
+        List.copyOf(connections).forEach(CallerConnection::endRequest);
+    }
+
     /**
      * Returns the number of requests in progress.
      *
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -90,6 +90,10 @@
         queue = gateway.serviceQueue(admitted.service());
         queue.retryBudget().recordRequest(gateway.timers().nanoTime());
         deadlines = RequestDeadlines.of(request, admitted.route());
+        if (!gateway.mayBegin(deadlines.endNanos())) {
+            reject(notRunForStop());
+            return;
+        }
         timeoutTimer = Optional.of(gateway.timers().schedule(remainingTime(), this::deadlineReached));
         place();
     }
@@ -115,6 +119,13 @@
         currentAttempt.ifPresent(Attempt::cancel);
     }
 
+    /** Ends the request because the process exits. */
+    void processExits() {
+        if (!ended) {
+            endWithoutResponse(outcomeUnknown("the entry is stopping"), notRunForStop());
+        }
+    }
+
     /** Resumes reading from the upstream after the caller has read what was written before. */
     void resumeReading() {
         currentAttempt.ifPresent(Attempt::resume);
@@ -384,20 +395,28 @@
     }
 
     private void deadlineReached() {
-        if (ended) {
-            return;
+        if (!ended) {
+            endWithoutResponse(
+                    Rejection.deadlineExceeded("no complete response before the deadline"),
+                    Rejection.notRun(
+                            "timeout",
+                            "no free slot before the deadline",
+                            RetryAfterPolicy.whenFull(gateway.randomFraction())));
         }
+    }
+
+    /** Ends the request wherever it is, with one of two rejections: it may have run, or it certainly has not. */
+    private void endWithoutResponse(Rejection ifMayHaveRun, Rejection ifNotRun) {
         currentAttempt.ifPresent(Attempt::cancel);
         boolean possiblyRan =
                 mayHaveRun || currentAttempt.filter(Attempt::isSent).isPresent();
-        if (possiblyRan) {
-            reject(Rejection.deadlineExceeded("no complete response before the deadline"));
-        } else {
-            reject(Rejection.notRun(
-                    "timeout",
-                    "no free slot before the deadline",
-                    RetryAfterPolicy.whenFull(gateway.randomFraction())));
-        }
+        reject(possiblyRan ? ifMayHaveRun : ifNotRun);
+    }
+
+    /** Other entries are available, so that the caller may send the request again soon. */
+    private Rejection notRunForStop() {
+        return Rejection.notRun(
+                "stopping", "the entry is stopping", RetryAfterPolicy.whenFull(gateway.randomFraction()));
     }
 
     /** After all upstreams have named a time, callers follow the shortest one. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -59,7 +59,7 @@
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
     private boolean queueScanScheduled;
-    private boolean stopping;
+    private Optional<StopSchedule> stop = Optional.empty();
 
     private Gateway(
             GatewaySettings settings,
@@ -167,13 +167,23 @@
         upstreams.recordReport(address, incarnation, report).forEach(this::serveWaitingAt);
     }
 
-    /** Announces that the process is stopping: from now on, every response is the last one on its connection. */
-    public void announceStop() {
-        stopping = true;
+    /**
+     * Announces that the process is stopping: from now on, every response is the last one on its connection, and requests
+     * that would not end in time are rejected.
+     *
+     * @param schedule the limits of the stop
+     */
+    public void announceStop(StopSchedule schedule) {
+        stop = Optional.of(schedule);
     }
 
     boolean isStopping() {
-        return stopping;
+        return stop.isPresent();
+    }
+
+    /** Whether a request may begin now; one that would be cut off by the end of the process may not. */
+    boolean mayBegin(long deadlineNanos) {
+        return stop.isEmpty() || stop.get().mayBegin(timers.nanoTime(), deadlineNanos);
     }
 
     Optional<Catalog> catalog() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestDeadlines.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestDeadlines.java
@@ -62,6 +62,11 @@
         return nowNanos - onTimeNanos >= 0;
     }
 
+    /** Returns the deadline, in nanoseconds. */
+    long endNanos() {
+        return deadlineNanos;
+    }
+
     /** The remaining time until the deadline, zero once it has passed. */
     Duration remaining(long nowNanos) {
         return Duration.ofNanos(Math.max(0, deadlineNanos - nowNanos));
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -25,6 +25,7 @@
 import org.galenahinge.gateway.CallerServer;
 import org.galenahinge.gateway.Gateway;
 import org.galenahinge.gateway.GatewaySettings;
+import org.galenahinge.gateway.StopSchedule;
 import org.galenahinge.http.HttpDocument;
 import org.galenahinge.http.HttpServer;
 import org.galenahinge.limit.NamedLimits;
@@ -44,8 +45,9 @@
  * <p>Everything runs on one network thread, since entries run on VMs with one processor.
  */
 public final class EntryNode {
-    private static final Duration IDLE_CLOSE_DELAY = Duration.ofMillis(2_500);
-    private static final Duration STOP_MARGIN = Duration.ofMillis(1_200);
+    /** Time for the last responses to reach their callers. */
+    private static final Duration LAST_RESPONSES_TIME = Duration.ofMillis(300);
+
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
     private static final Duration JOIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -67,7 +69,6 @@
     private final EntryGossip gossip;
     private DatagramNetwork gossipDatagrams;
     private CallerServer callerServer;
-    private long stopNanos;
     private boolean stopping;
     private volatile boolean ready;
 
@@ -279,26 +280,35 @@
     private void beginStop(CompletableFuture<Void> stopped) {
         stopping = true;
         ready = false;
-        stopNanos = timers.nanoTime()
-                + settings.bounds().stopTimeout().minus(STOP_MARGIN).toNanos();
+        long now = timers.nanoTime();
+        StopSchedule schedule = StopSchedule.beginningAt(now, settings.bounds().stopTimeout());
         log.event(Category.LIFECYCLE, "stopping")
                 .with("busy", callerServer.activeRequests())
                 .write();
         membership.leave();
-        gateway.announceStop();
-        timers.schedule(IDLE_CLOSE_DELAY, () -> stopWhenIdle(stopped));
+        gateway.announceStop(schedule);
+        Duration arrivals = Duration.ofNanos(schedule.lastArrivalNanos() - now);
+        timers.schedule(arrivals, () -> stopWhenIdle(schedule, stopped));
     }
 
-    private void stopWhenIdle(CompletableFuture<Void> stopped) {
+    private void stopWhenIdle(StopSchedule schedule, CompletableFuture<Void> stopped) {
         callerServer.closeIdle();
-        if (callerServer.activeRequests() == 0 || timers.nanoTime() - stopNanos >= 0) {
-            log.event(Category.LIFECYCLE, "stopped")
-                    .with("busy", callerServer.activeRequests())
-                    .write();
+        if (callerServer.activeRequests() == 0) {
+            logStopped(0);
             stopped.complete(null);
             return;
         }
-        timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(stopped));
+        if (timers.nanoTime() - schedule.endNanos() >= 0) {
+            logStopped(callerServer.activeRequests());
+            callerServer.endRequests();
+            timers.schedule(LAST_RESPONSES_TIME, () -> stopped.complete(null));
+            return;
+        }
+        timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
+    }
+
+    private void logStopped(int busy) {
+        log.event(Category.LIFECYCLE, "stopped").with("busy", busy).write();
     }
 
     private void loadReported(LoadCodec.UpstreamReport load) {
