--- a/galenahinge/src/main/java/org/galenahinge/supply/ChunkStaging.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ChunkStaging.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import java.util.function.Predicate;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
@@ -25,6 +26,7 @@
     private final Resources resources;
     private final Predicate<ChunkStaging> currentCheck;
     private final Consumer<ChunkStaging> onComplete;
+    private final IntConsumer onMismatch;
     private final long startedNanos;
     private final Deque<Integer> remaining = new ArrayDeque<>();
     private int inProgress;
@@ -53,11 +55,13 @@
             WeightsDigests digests,
             Resources resources,
             Predicate<ChunkStaging> currentCheck,
-            Consumer<ChunkStaging> onComplete) {
+            Consumer<ChunkStaging> onComplete,
+            IntConsumer onMismatch) {
         this.digests = digests;
         this.resources = resources;
         this.currentCheck = currentCheck;
         this.onComplete = onComplete;
+        this.onMismatch = onMismatch;
         this.startedNanos = resources.timers().nanoTime();
         for (int number = 0; number < digests.size(); number++) {
             remaining.add(number);
@@ -120,6 +124,9 @@
             } else if (!digests.isIntact(number, content)) {
                 resources.corruptChunks().inc();
                 retryLater(number, "chunk " + number + " from " + source.get().name() + " is corrupt");
+                if (isCurrent()) {
+                    onMismatch.accept(number);
+                }
             } else {
                 stage(number, content);
             }
--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -47,6 +47,7 @@
     private Optional<EngineReport> report = Optional.empty();
     private Optional<ChunkStaging> staging = Optional.empty();
     private long stagingIncarnation;
+    private ManifestDoubt doubt = new ManifestDoubt();
     private boolean loading;
     private Optional<WeightsVersion> commanded = Optional.empty();
     private long commandedNanos;
@@ -133,6 +134,7 @@
             return;
         }
         target = Optional.of(digests);
+        doubt = new ManifestDoubt();
         targetSetNanos = timers.nanoTime();
         loadAtNanos = Optional.empty();
         awaitedLoadNanos = Optional.empty();
@@ -286,12 +288,43 @@
 
     private void startStaging() {
         stagingIncarnation = report.orElseThrow().incarnation();
-        ChunkStaging next =
-                new ChunkStaging(target.orElseThrow(), stagingResources, this::isCurrent, this::onStagingComplete);
+        ChunkStaging next = new ChunkStaging(
+                target.orElseThrow(),
+                stagingResources,
+                this::isCurrent,
+                this::onStagingComplete,
+                this::chunkMismatched);
         staging = Optional.of(next);
         next.start();
     }
 
+    /** A chunk that was fetched does not match: its digest may be what is damaged. */
+    private void chunkMismatched(int number) {
+        if (doubt.recordMismatch(number)) {
+            readManifestAgain(target.orElseThrow());
+        }
+    }
+
+    /** Reads the digests again, each time from the next source, and stages by them if they differ. */
+    private void readManifestAgain(WeightsDigests doubted) {
+        stagingResources
+                .sources()
+                .apply(doubt.timesRaised())
+                .ifPresent(source -> source.manifest(doubted.weights()).whenComplete((digests, error) -> {
+                    boolean differs = error == null && !digests.equals(doubted);
+                    if (!differs || target.filter(doubted::equals).isEmpty()) {
+                        return;
+                    }
+                    target = Optional.of(digests);
+                    log.event(Category.BELIEF, "manifest_replaced")
+                            .with("model", digests.weights().model())
+                            .with("version", digests.weights().version())
+                            .with("source", source.name())
+                            .write();
+                    startStagingIfNeeded();
+                }));
+    }
+
     private boolean isCurrent(ChunkStaging candidate) {
         return staging.filter(current -> current == candidate).isPresent()
                 && target.filter(digests -> digests.equals(candidate.digests())).isPresent();
--- a/galenahinge/src/main/java/org/galenahinge/supply/VersionCopy.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/VersionCopy.java
@@ -57,11 +57,11 @@
      *
      * @param number its number, from 0
      * @param content its bytes
-     * @return whether the digest matched
+     * @return whether the version has such a chunk and its digest matched
      */
     public boolean put(int number, byte[] content) {
-        requested.set(number, false);
-        if (!digests.isIntact(number, content)) {
+        requestFailed(number);
+        if (number >= chunks.size() || !digests.isIntact(number, content)) {
             return false;
         }
         if (chunks.get(number).isEmpty()) {
@@ -92,7 +92,31 @@
      * @param number its number, from 0
      */
     public void requestFailed(int number) {
-        requested.set(number, false);
+        if (number < requested.size()) {
+            requested.set(number, false);
+        }
+    }
+
+    /**
+     * Returns a copy with the digests of another manifest of the same version, but for those of chunks that are held: a
+     * chunk that matches its digest shows that the digest is intact.
+     *
+     * @param other the digests of the other manifest
+     * @return the copy, with the chunks that match
+     */
+    public VersionCopy correctedBy(WeightsDigests other) {
+        List<String> corrected = new ArrayList<>(other.digests());
+        for (int number = 0; number < Math.min(chunks.size(), other.size()); number++) {
+            if (chunks.get(number).isPresent()) {
+                corrected.set(number, digests.digests().get(number));
+            }
+        }
+        VersionCopy copy = of(new WeightsDigests(other.weights(), corrected));
+        for (int number = 0; number < chunks.size(); number++) {
+            int position = number;
+            chunks.get(number).ifPresent(content -> copy.put(position, content));
+        }
+        return copy;
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsCache.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsCache.java
@@ -71,6 +71,7 @@
         private final WeightsVersion weights;
         private final long addedNanos;
         private Optional<VersionCopy> copy = Optional.empty();
+        private final ManifestDoubt doubt = new ManifestDoubt();
         private boolean manifestRequested;
         private boolean chunksRequested;
         private boolean backingOff;
@@ -255,6 +256,35 @@
         });
     }
 
+    /** Reads a manifest that may be damaged from the next source, and takes the digests for which no chunk speaks yet. */
+    private void readManifestAgain(CachedVersion version) {
+        Optional<WeightsSource> source = sources.manifestSource(version.weights.model(), version.doubt.timesRaised());
+        if (version.manifestRequested || source.isEmpty()) {
+            return;
+        }
+        version.manifestRequested = true;
+        source.get().manifest(version.weights).whenComplete((digests, error) -> {
+            version.manifestRequested = false;
+            if (error != null) {
+                recordFailure(version, source.get(), "manifest", error);
+                return;
+            }
+            VersionCopy before = version.copy.orElseThrow();
+            VersionCopy corrected = before.correctedBy(digests);
+            if (corrected.digests().equals(before.digests())) {
+                return;
+            }
+            version.copy = Optional.of(corrected);
+            log.event(Category.BELIEF, "manifest_replaced")
+                    .with("model", version.weights.model())
+                    .with("version", version.weights.version())
+                    .with("source", source.get().name())
+                    .write();
+            changed.run();
+            readChunks(version);
+        });
+    }
+
     private void readChunks(CachedVersion version) {
         VersionCopy copy = version.copy.orElseThrow();
         while (isCached(version) && !version.backingOff && version.readsInProgress < MAXIMUM_CONCURRENT_READS) {
@@ -264,16 +294,17 @@
                 break;
             }
             version.readsInProgress++;
-            readChunk(version, copy, source.get(), next.getAsInt());
+            readChunk(version, source.get(), next.getAsInt());
         }
         if (version.readsInProgress == 0 && !version.backingOff && !copy.isComplete() && isCached(version)) {
             timers.schedule(NO_SOURCE_RETRY_DELAY, () -> readChunks(version));
         }
     }
 
-    private void readChunk(CachedVersion version, VersionCopy copy, WeightsSource source, int number) {
+    private void readChunk(CachedVersion version, WeightsSource source, int number) {
         source.chunk(version.weights, number).whenComplete((content, error) -> {
             version.readsInProgress--;
+            VersionCopy copy = version.copy.orElseThrow();
             if (error == null && copy.put(number, content)) {
                 boolean stalled = !isProgressing(version);
                 version.failures = 0;
@@ -294,6 +325,9 @@
             if (error == null) {
                 corruptChunks.inc();
                 recordFailure(version, source, "chunk " + number, new SupplyException("the digest does not match"));
+                if (version.doubt.recordMismatch(number)) {
+                    readManifestAgain(version);
+                }
             } else {
                 recordFailure(version, source, "chunk " + number, error);
             }
--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EngineWeightsControllerTest {
     private static final int CHUNKS = 4;
@@ -80,6 +81,15 @@
         assertThat(source.corruptChunks).isZero();
     }
 
+    /** Guards against a damaged digest that an entry told and that is kept for good: no chunk ever matches it. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3})
+    void readsADamagedManifestAgain(int damaged) {
+        controller.setTarget(TestWeights.damagedDigests(1, CHUNKS, damaged), LoadSchedule.UNKNOWN);
+        report(Duration.ofSeconds(2));
+        assertThat(engine.loaded).containsExactly(1L);
+    }
+
     @Test
     void aNewerTargetReplacesTheOlderOne() {
         source.responds = false;
--- a/galenahinge/src/test/java/org/galenahinge/supply/TestWeights.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/TestWeights.java
@@ -18,6 +18,14 @@
         return ("v" + version + " chunk " + number).getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Returns the digests with one character of one of them changed. */
+    static WeightsDigests damagedDigests(long version, int chunks, int damaged) {
+        List<String> damagedDigests = new ArrayList<>(digests(version, chunks).digests());
+        String digest = damagedDigests.get(damaged);
+        damagedDigests.set(damaged, (digest.startsWith("0") ? "1" : "0") + digest.substring(1));
+        return new WeightsDigests(weights(version), damagedDigests);
+    }
+
     static WeightsDigests digests(long version, int chunks) {
         List<String> digests = new ArrayList<>();
         for (int number = 0; number < chunks; number++) {
--- a/galenahinge/src/test/java/org/galenahinge/supply/WeightsCacheTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/WeightsCacheTest.java
@@ -96,6 +96,23 @@
         assertThat(offers).contains(2L);
     }
 
+    /**
+     * Guards against a damaged digest that is kept for good, so that its version is never complete: the manifest is read
+     * again, and digests that chunks have matched are kept when the next manifest is damaged elsewhere.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5})
+    void readsADamagedManifestAgain(int damagedManifests) {
+        origin.damagedManifests = damagedManifests;
+        cache.add(TestWeights.weights(1));
+        requestChunk(1, 0);
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(cache.find(TestWeights.weights(1))).contains(digests(1));
+        for (int number = 0; number < CHUNKS; number++) {
+            assertThat(requestChunk(1, number)).contains(TestWeights.chunk(1, number));
+        }
+    }
+
     private long offered() {
         return cache.offer("m").orElseThrow().weights().version();
     }
@@ -128,6 +145,7 @@
         private final CompletableFuture<WeightsDigests> heldManifest = new CompletableFuture<>();
         private boolean unavailable;
         private boolean holdManifest;
+        private int damagedManifests;
 
         void releaseManifest(long version) {
             heldManifest.complete(digests(version));
@@ -135,6 +153,11 @@
 
         @Override
         public CompletionStage<WeightsDigests> manifest(WeightsVersion weights) {
+            if (damagedManifests > 0) {
+                damagedManifests--;
+                return CompletableFuture.completedFuture(
+                        TestWeights.damagedDigests(weights.version(), CHUNKS, damagedManifests % CHUNKS));
+            }
             return holdManifest ? heldManifest : CompletableFuture.completedFuture(digests(weights.version()));
         }
 
