--- a/galenahinge/src/main/java/org/galenahinge/entry/SlotAttempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/SlotAttempt.java
@@ -31,7 +31,8 @@
  * Sends one attempt of a request to a slot process and receives its response.
  *
  * <p>A streamed response is forwarded part by part, with at most {@value #MAXIMUM_QUEUED_PARTS} parts and
- * {@value #MAXIMUM_QUEUED_BYTES} bytes that the caller has not read yet. Any other response is buffered until it is complete, up to {@value #MAXIMUM_BUFFERED_BYTES} bytes.
+ * {@value #MAXIMUM_QUEUED_BYTES} bytes that the caller has not read yet. Any other response is buffered until it is
+ * complete, up to {@value #MAXIMUM_BUFFERED_BYTES} bytes.
  */
 final class SlotAttempt implements WireConnection.ExchangeListener {
     private static final int MAXIMUM_QUEUED_PARTS = 4_096;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -44,6 +44,7 @@
     private final double predictedMillis;
     private final OptionalLong exactVersion;
     private final long startedNanos;
+    private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
     private final EventSplitter splitter = new EventSplitter(MAXIMUM_EVENT_BYTES);
     private Optional<HttpConnection> connection = Optional.empty();
     private Optional<Timer> stallTimer = Optional.empty();
@@ -59,7 +60,6 @@
     private boolean done;
     private boolean sent;
     private boolean reused;
-    private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
     private int events;
     private int bytesWithoutEvent;
     private long lastProgressNanos;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/StopSchedule.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/StopSchedule.java
@@ -18,8 +18,10 @@
     /** Time for the last responses to reach their callers, and for the process to exit. */
     private static final Duration MAXIMUM_EXIT_TIME = Duration.ofMillis(1_200);
 
-    private static final int MINIMUM_PARTS_FOR_EXIT = 4;
-    private static final int MINIMUM_PARTS_FOR_ARRIVALS = 2;
+    /** A short time to stop is divided in proportion. */
+    private static final int EXIT_TIME_DIVISOR = 4;
+
+    private static final int ARRIVAL_TIME_DIVISOR = 2;
 
     /**
      * Creates the schedule of a stop that begins.
@@ -29,9 +31,9 @@
      * @return the schedule
      */
     public static StopSchedule beginningAt(long nowNanos, Duration stopTimeout) {
-        Duration exit = shorter(MAXIMUM_EXIT_TIME, stopTimeout.dividedBy(MINIMUM_PARTS_FOR_EXIT));
+        Duration exit = shorter(MAXIMUM_EXIT_TIME, stopTimeout.dividedBy(EXIT_TIME_DIVISOR));
         Duration running = stopTimeout.minus(exit);
-        Duration arrivals = shorter(MAXIMUM_ARRIVAL_TIME, running.dividedBy(MINIMUM_PARTS_FOR_ARRIVALS));
+        Duration arrivals = shorter(MAXIMUM_ARRIVAL_TIME, running.dividedBy(ARRIVAL_TIME_DIVISOR));
         return new StopSchedule(nowNanos + arrivals.toNanos(), nowNanos + running.toNanos());
     }
 
