Move the handlers of a client's connection and the Keep-Alive header to classes of their own

What the channel receives before and after it is decoded, and the timeout that a server names, are read in classes of their own now; behaviour is unchanged.

--- a/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
@@ -6,13 +6,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -50,8 +46,6 @@
     private static final int MAXIMUM_STATUS_LINE_BYTES = 8 << 10;
     private static final int MAXIMUM_HEADER_BYTES = 64 << 10;
     private static final int MAXIMUM_INFORMATIONAL_RESPONSES = 8;
-    private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(3);
-    private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final Channel channel;
     private final ResponseDecoder decoder;
@@ -65,7 +59,7 @@
     private boolean bodyEnded;
     private boolean requestWritten;
     private long idleSinceNanos;
-    private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
+    private Duration keepAliveTimeout = KeepAliveTimeout.DEFAULT;
     private Runnable idleCloseAction = () -> {};
 
     private HttpConnection(Channel channel, ResponseDecoder decoder) {
@@ -143,7 +137,7 @@
             Duration timeout,
             ConnectListener connectListener) {
         Objects.requireNonNull(connectListener, "connectListener");
-        ResponseHandler receiver = new ResponseHandler();
+        ResponseReceiver receiver = new ResponseReceiver();
         ResponseDecoder decoder =
                 new ResponseDecoder(MAXIMUM_STATUS_LINE_BYTES, MAXIMUM_HEADER_BYTES, ReadLimit.BYTES_PER_TURN);
         Bootstrap bootstrap = new Bootstrap()
@@ -159,7 +153,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new InputHandler(receiver))
+                                .addLast(new InputObserver(receiver))
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(receiver);
@@ -168,7 +162,7 @@
         bootstrap.connect(server).addListener(done -> {
             if (done.isSuccess()) {
                 HttpConnection connection = new HttpConnection(((ChannelFuture) done).channel(), decoder);
-                receiver.connection = connection;
+                receiver.setConnection(connection);
                 connectListener.onConnected(connection);
             } else {
                 connectListener.onConnectFailed(ErrorText.of(done.cause()));
@@ -276,7 +270,7 @@
         channel.config().setAutoRead(reading);
     }
 
-    private void handle(HttpObject message) {
+    void handle(HttpObject message) {
         if (listener == null) {
             // Bytes without a request: anything that follows on this connection could be mistaken for a response.
             closeIdle();
@@ -311,7 +305,7 @@
         boolean lengthDelimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         endsWithConnection = !lengthDelimited && decoder.mayHaveBody(response);
         keepAlive = HttpUtil.isKeepAlive(response) && lengthDelimited;
-        keepAliveTimeout = keepAliveTimeoutOf(response);
+        keepAliveTimeout = KeepAliveTimeout.of(response);
         listener.onHead(response);
     }
 
@@ -342,7 +336,7 @@
     }
 
     /** Passes on what was read at once. */
-    private void passOnCollected() {
+    void passOnCollected() {
         ByteBuf part = collector.take();
         try {
             if (listener != null && part.isReadable()) {
@@ -363,7 +357,7 @@
         completed.onComplete();
     }
 
-    private void fail(String detail) {
+    void fail(String detail) {
         passOnCollected();
         Listener failed = listener;
         listener = null;
@@ -373,15 +367,25 @@
         }
     }
 
-    private void closeIdle() {
+    void closeIdle() {
         channel.close();
         Runnable action = idleCloseAction;
         idleCloseAction = () -> {};
         action.run();
     }
 
+    /** Whether a request is running, whose response is expected. */
+    boolean isRunning() {
+        return listener != null;
+    }
+
+    /** Notes that the server has ended its output; an end that an error of the network causes is not orderly. */
+    void setInputEnded(boolean orderly) {
+        inputEnded = orderly;
+    }
+
     /** Called when the server has ended its output, after the decoder has passed on what that completes. */
-    private void handleInputEnd() {
+    void handleInputEnd() {
         if (listener == null) {
             closeIdle();
         } else if (!bodyEnded) {
@@ -389,129 +393,6 @@
         }
     }
 
-    private static Duration keepAliveTimeoutOf(HttpResponse response) {
-        String header = response.headers().get("Keep-Alive");
-        int at = header == null ? -1 : header.indexOf(TIMEOUT_PARAMETER);
-        if (at < 0) {
-            return DEFAULT_KEEP_ALIVE;
-        }
-        int seconds = 0;
-        for (int index = at + TIMEOUT_PARAMETER.length();
-                index < header.length() && Character.isDigit(header.charAt(index)) && seconds < 10_000;
-                index++) {
-            seconds = seconds * 10 + (header.charAt(index) - '0');
-        }
-        return Duration.ofSeconds(seconds);
-    }
-
-    /**
-     * Sees what the channel receives before it is decoded. Notes the orderly end of the server's output, which the decoder
-     * does not tell apart from a lost connection. Closes a connection that receives bytes while no request is running: the
-     * beginning of a response would otherwise be completed by what arrives after the next request.
-     */
-    private static final class InputHandler extends ChannelInboundHandlerAdapter {
-        private final ResponseHandler receiver;
-        private boolean failed;
-
-        InputHandler(ResponseHandler receiver) {
-            this.receiver = receiver;
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            failed = true;
-            context.fireExceptionCaught(cause);
-        }
-
-        @Override
-        public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event == ChannelInputShutdownEvent.INSTANCE && receiver.connection != null) {
-                // The event also follows an error of the network.
-                receiver.connection.inputEnded = !failed;
-            }
-            context.fireUserEventTriggered(event);
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
-            HttpConnection connection = receiver.connection;
-            if (connection != null && connection.listener != null) {
-                context.fireChannelRead(bytes);
-                return;
-            }
-            ReferenceCountUtil.release(bytes);
-            if (connection == null) {
-                context.close();
-            } else {
-                connection.closeIdle();
-            }
-        }
-    }
-
-    /** Passes what the channel receives to the connection; closes the channel when that does not exist yet. */
-    private static final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
-        private HttpConnection connection;
-
-        ResponseHandler() {
-            super(HttpObject.class);
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (connection == null) {
-                context.close();
-                return;
-            }
-            connection.handle(message);
-        }
-
-        @Override
-        public void channelReadComplete(ChannelHandlerContext context) {
-            if (connection != null) {
-                connection.passOnCollected();
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            if (connection == null) {
-                return;
-            }
-            if (connection.listener == null) {
-                connection.closeIdle();
-            } else {
-                connection.fail("the connection was closed before the response was complete");
-            }
-        }
-
-        @Override
-        public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event != ChannelInputShutdownEvent.INSTANCE) {
-                return;
-            }
-            if (connection == null) {
-                context.close();
-                return;
-            }
-            connection.handleInputEnd();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (connection == null) {
-                context.close();
-                return;
-            }
-            if (connection.listener == null) {
-                connection.closeIdle();
-                return;
-            }
-            String kind =
-                    cause instanceof IOException ? "the connection was lost: " : "error while reading the response: ";
-            connection.fail(kind + ErrorText.of(cause));
-        }
-    }
-
     /**
      * Sets the {@code Content-Length} header of a request, and the {@code Host} header where it is missing.
      *
