CallerConnection: writer and delivery of responses in classes of their own

Behaviour unchanged. The connection keeps what it reads and when it is closed; CallerResponseWriter writes one response, and CallerDelivery ends the connection.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -2,25 +2,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -50,6 +42,7 @@
     private final Supplier<CallerLimits> limits;
     private final Deque<HttpObject> queued = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    private CallerDelivery delivery;
     private Optional<Timer> timer = Optional.empty();
     private HttpRequest request;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -59,7 +52,6 @@
     private boolean responseWritten = true;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
-    private boolean bodyEndsWithConnection;
 
     CallerConnection(Gateway gateway, CallerServer server, Supplier<CallerLimits> limits) {
         this.gateway = gateway;
@@ -97,6 +89,7 @@
     @Override
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
+        delivery = new CallerDelivery(newContext);
         server.opened(this);
         startIdleTimer();
     }
@@ -160,7 +153,7 @@
                     .with("detail", cause.toString())
                     .write();
         }
-        closeChannel(newContext.channel());
+        delivery.close();
     }
 
     private void process(HttpObject message) {
@@ -230,7 +223,7 @@
         request = null;
         reading = false;
         body = new ByteArrayOutputStream();
-        Writer writer = new Writer(HttpUtil.isKeepAlive(head), head.protocolVersion());
+        ResponseWriter writer = responseWriter(HttpUtil.isKeepAlive(head), head.protocolVersion());
         // The response may be written before start() returns, so the active request is set first.
         ForwardedRequest forwarded = new ForwardedRequest(gateway, callerRequest, writer);
         active = Optional.of(forwarded);
@@ -271,10 +264,15 @@
         gateway.metrics().ended(reason);
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        new Writer(false, HttpVersion.HTTP_1_1)
+        responseWriter(false, HttpVersion.HTTP_1_1)
                 .writeComplete(status, headers, Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
     }
 
+    private ResponseWriter responseWriter(boolean keepAlive, HttpVersion version) {
+        return new CallerResponseWriter(
+                context, delivery, version, () -> !keepAlive || gateway.isStopping(), new ResponseEnds());
+    }
+
     private void responseEnded(ChannelFuture written, boolean keepOpen) {
         active = Optional.empty();
         arrivedNanos = 0;
@@ -310,24 +308,14 @@
         if (!context.channel().isActive()) {
             return;
         }
-        if (context.channel() instanceof SocketChannel socket) {
-            socket.shutdownOutput();
-        }
+        delivery.shutDown();
         setTimer(CLOSE_LINGER, () -> context.close());
     }
 
     private void close() {
         closing = true;
         timer.ifPresent(Timer::cancel);
-        closeChannel(context.channel());
-    }
-
-    /** A body that ends with its connection would look complete if that were closed and not reset. */
-    private void closeChannel(Channel channel) {
-        if (bodyEndsWithConnection) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        }
-        channel.close();
+        delivery.close();
     }
 
     private void setTimer(Duration after, Runnable action) {
@@ -335,98 +323,16 @@
         timer = Optional.of(gateway.timers().schedule(after, action));
     }
 
-    private final class Writer implements ResponseWriter {
-        private final boolean keepAlive;
-        private final HttpVersion version;
-        private boolean chunked;
-        private boolean last;
-        private boolean finished;
-
-        Writer(boolean keepAlive, HttpVersion version) {
-            this.keepAlive = keepAlive;
-            this.version = version;
-        }
-
+    private final class ResponseEnds implements CallerResponseWriter.Listener {
         @Override
-        public void writeComplete(int status, HttpHeaders headers, ByteBuf content) {
-            if (isFinished()) {
-                content.release();
-                return;
-            }
-            finished = true;
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    content,
-                    headers,
-                    new DefaultHttpHeaders());
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            setConnectionHeader(response);
-            ChannelFuture written = context.writeAndFlush(response);
-            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-            responseEnded(written, !last);
+        public void responseEnded(ChannelFuture written, boolean keepOpen) {
+            CallerConnection.this.responseEnded(written, keepOpen);
         }
 
         @Override
-        public void writeHead(int status, HttpHeaders headers) {
-            if (isFinished()) {
-                return;
-            }
-            HttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-            chunked = version.equals(HttpVersion.HTTP_1_1);
-            bodyEndsWithConnection = !chunked;
-            if (chunked) {
-                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            }
-            setConnectionHeader(response);
-            context.write(response, context.voidPromise());
-        }
-
-        @Override
-        public void writePart(ByteBuf content) {
-            if (isFinished()) {
-                content.release();
-                return;
-            }
-            context.writeAndFlush(new DefaultHttpContent(content), context.voidPromise());
-        }
-
-        @Override
-        public void finish() {
-            if (isFinished()) {
-                return;
-            }
-            finished = true;
-            bodyEndsWithConnection = false;
-            ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            responseEnded(written, !last && chunked);
-        }
-
-        @Override
-        public void abort() {
-            if (isFinished()) {
-                return;
-            }
-            finished = true;
+        public void responseAborted() {
             active = Optional.empty();
             close();
         }
-
-        @Override
-        public boolean isWritable() {
-            return context.channel().isWritable();
-        }
-
-        private boolean isFinished() {
-            return finished || !context.channel().isActive();
-        }
-
-        private void setConnectionHeader(HttpResponse response) {
-            last = !keepAlive || gateway.isStopping();
-            if (last) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
     }
 }
