A connection is idle only when all its responses have left

Callers that had sent several requests at once and read slowly lost the end of their responses when the entry stopped: the first response that had left marked the connection as idle, and the stop closed it with the others in its buffer. Responses on their way are counted now.

StopDeliveryTest failed before: 5,166,173 of more than 7,000,000 bytes arrived.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -49,7 +49,6 @@
     private long arrivedNanos;
     private boolean reading;
     private boolean processing;
-    private boolean responseWritten = true;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
 
@@ -78,7 +77,7 @@
 
     /** Whether no request is being read or forwarded, and all responses have been given to the network. */
     boolean isIdle() {
-        return active.isEmpty() && !reading && queued.isEmpty() && responseWritten;
+        return active.isEmpty() && !reading && queued.isEmpty() && !delivery.isWriting();
     }
 
     /** Ends the request in progress with a response, because the process exits. */
@@ -278,8 +277,7 @@
         arrivedNanos = 0;
         reading = false;
         request = null;
-        responseWritten = false;
-        written.addListener(done -> responseWritten = true);
+        delivery.responseEnded(written);
         if (!keepOpen) {
             closeAfter(written);
             return;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
@@ -1,5 +1,6 @@
 package org.galenahinge.gateway;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
@@ -11,17 +12,29 @@
  */
 final class CallerDelivery {
     private final ChannelHandlerContext context;
+    private int unwrittenResponses;
     private boolean bodyEndsWithConnection;
 
     CallerDelivery(ChannelHandlerContext context) {
         this.context = Objects.requireNonNull(context, "context");
     }
 
+    /** Records a response that ends with a write; several may be on their way. */
+    void responseEnded(ChannelFuture lastWrite) {
+        unwrittenResponses++;
+        lastWrite.addListener(done -> unwrittenResponses--);
+    }
+
     /** Records whether the body that is being written is complete only if the connection is closed in order. */
     void setBodyEndsWithConnection(boolean endsWithConnection) {
         bodyEndsWithConnection = endsWithConnection;
     }
 
+    /** Whether responses have ended that were not yet given to the network. */
+    boolean isWriting() {
+        return unwrittenResponses > 0;
+    }
+
     /** Tells the caller that nothing follows; what it sends is still read, so that it does not reset the connection. */
     void shutDown() {
         if (context.channel() instanceof SocketChannel socket) {
