Idle connections close in order, and the stop waits for their callers

Callers that read slowly on a kept connection got a reset in place of the rest of a response when they sent their next request as the entry stopped: idle connections were closed at once, and a byte that arrives at a closed socket resets it, with what the other side has not read yet. Connections in their orderly close counted as idle, and were cut off by the next scan or the exit.

Idle connections now end like others: the output is shut down, and what arrives is read until the caller closes, for 500 ms at most. The stop waits for that. The lines 'stopping' and 'stopped' say what the connections do.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -68,16 +68,25 @@
         setTimer(limits.get().headerTimeout(), () -> reject(408, "request_timeout", "the request head took too long"));
     }
 
-    /** Closes the connection if it is idle; while the process stops, a response in progress is its last. */
+    /** Closes the connection if it waits for a request; while the process stops, a response in progress is its last. */
     void closeIfIdle() {
-        if (isIdle()) {
-            close();
+        if (phase() == ConnectionPhase.WAITING) {
+            closeGracefully();
         }
     }
 
-    /** Whether no request is being read or forwarded, and all responses have been given to the network. */
-    boolean isIdle() {
-        return active.isEmpty() && !reading && queued.isEmpty() && !delivery.isWriting();
+    /** Returns what the connection does; while a request is forwarded, responses before it may still be written. */
+    ConnectionPhase phase() {
+        if (active.isPresent()) {
+            return ConnectionPhase.RUNNING;
+        }
+        if (delivery.isWriting()) {
+            return ConnectionPhase.WRITING;
+        }
+        if (closing) {
+            return ConnectionPhase.LINGERING;
+        }
+        return reading || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
     }
 
     /** Ends the request in progress with a response, because the process exits. */
@@ -288,7 +297,16 @@
     }
 
     private void startIdleTimer() {
-        setTimer(limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::close);
+        setTimer(limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::idleTimeReached);
+    }
+
+    /** A caller that does not take its responses in the time of an idle connection is not waited for. */
+    private void idleTimeReached() {
+        if (delivery.isWriting()) {
+            close();
+        } else {
+            closeGracefully();
+        }
     }
 
     /** Closes the connection once its caller has taken the last response, or has not for the time of an idle one. */
@@ -306,6 +324,8 @@
         if (!context.channel().isActive()) {
             return;
         }
+        closing = true;
+        context.channel().config().setAutoRead(true);
         delivery.shutDown();
         setTimer(CLOSE_LINGER, () -> context.close());
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -79,13 +79,13 @@
     }
 
     /**
-     * Returns the number of requests in progress.
+     * Returns what the connections do.
      *
-     * @return the number of connections that are not idle
+     * @return how many of them do what
      */
-    public int activeRequests() {
-        return (int)
-                connections.stream().filter(connection -> !connection.isIdle()).count();
+    public CallerActivity activity() {
+        return CallerActivity.of(
+                connections.stream().map(CallerConnection::phase).toList());
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -22,6 +22,7 @@
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.facts.StorePosition;
+import org.galenahinge.gateway.CallerActivity;
 import org.galenahinge.gateway.CallerServer;
 import org.galenahinge.gateway.Gateway;
 import org.galenahinge.gateway.GatewaySettings;
@@ -282,9 +283,7 @@
         ready = false;
         long now = timers.nanoTime();
         StopSchedule schedule = StopSchedule.beginningAt(now, settings.bounds().stopTimeout());
-        log.event(Category.LIFECYCLE, "stopping")
-                .with("busy", callerServer.activeRequests())
-                .write();
+        logStop("stopping");
         membership.leave();
         gateway.announceStop(schedule);
         Duration arrivals = Duration.ofNanos(schedule.lastArrivalNanos() - now);
@@ -293,13 +292,13 @@
 
     private void stopWhenIdle(StopSchedule schedule, CompletableFuture<Void> stopped) {
         callerServer.closeIdle();
-        if (callerServer.activeRequests() == 0) {
-            logStopped(0);
+        if (callerServer.activity().isOver()) {
+            logStop("stopped");
             stopped.complete(null);
             return;
         }
         if (timers.nanoTime() - schedule.endNanos() >= 0) {
-            logStopped(callerServer.activeRequests());
+            logStop("stopped");
             callerServer.endRequests();
             timers.schedule(LAST_RESPONSES_TIME, () -> stopped.complete(null));
             return;
@@ -307,8 +306,16 @@
         timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
     }
 
-    private void logStopped(int busy) {
-        log.event(Category.LIFECYCLE, "stopped").with("busy", busy).write();
+    private void logStop(String event) {
+        CallerActivity activity = callerServer.activity();
+        log.event(Category.LIFECYCLE, event)
+                .with("busy", activity.busy())
+                .with("waiting", activity.waiting())
+                .with("reading", activity.reading())
+                .with("running", activity.running())
+                .with("writing", activity.writing())
+                .with("lingering", activity.lingering())
+                .write();
     }
 
     private void loadReported(LoadCodec.UpstreamReport load) {
