A stop ends requests within the last sixth of its time, however short

With 1 to 6 s to stop, requests that still ran were cut off before the last sixth of that time, which is too early: a quarter was kept for the exit.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/StopSchedule.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/StopSchedule.java
@@ -6,22 +6,27 @@
  * The limits on what a stopping entry still takes and still runs, in nanoseconds of the process's clock.
  *
  * <p>Callers learn within moments that the entry stops, so that it takes all requests at first. Afterwards it takes only
- * those that end before it does, whatever their upstream does. What is left at its end gets a response.
+ * those that end before it does, whatever their upstream does. What is left at its end gets a response, and slow callers
+ * get time to read theirs.
  *
  * @param lastArrivalNanos until when all requests are taken
  * @param endNanos when the requests that are left are ended
+ * @param exitNanos when the process exits even if callers have not taken all responses
  */
-public record StopSchedule(long lastArrivalNanos, long endNanos) {
+public record StopSchedule(long lastArrivalNanos, long endNanos, long exitNanos) {
     /** Time in which callers learn that the entry stops, and in which it takes all requests. */
     private static final Duration MAXIMUM_ARRIVAL_TIME = Duration.ofMillis(2_500);
 
-    /** Time for the last responses to reach their callers, and for the process to exit. */
-    private static final Duration MAXIMUM_EXIT_TIME = Duration.ofMillis(1_200);
+    private static final int ARRIVAL_TIME_DIVISOR = 2;
 
-    /** A short time to stop is divided in proportion. */
-    private static final int EXIT_TIME_DIVISOR = 4;
+    /** Time from the end of the requests until the process is killed. */
+    private static final Duration MAXIMUM_CLOSING_TIME = Duration.ofMillis(1_200);
 
-    private static final int ARRIVAL_TIME_DIVISOR = 2;
+    /** The same as a share of the time to stop. Requests that still run must not be ended before its last sixth. */
+    private static final double CLOSING_TIME_SHARE = 0.15;
+
+    /** The share of the closing time in which the last responses reach their callers; the process exits in the rest. */
+    private static final double DELIVERY_TIME_SHARE = 0.6;
 
     /**
      * Creates the schedule of a stop that begins.
@@ -31,10 +36,14 @@
      * @return the schedule
      */
     public static StopSchedule beginningAt(long nowNanos, Duration stopTimeout) {
-        Duration exit = shorter(MAXIMUM_EXIT_TIME, stopTimeout.dividedBy(EXIT_TIME_DIVISOR));
-        Duration running = stopTimeout.minus(exit);
+        Duration closing = shorter(MAXIMUM_CLOSING_TIME, share(stopTimeout, CLOSING_TIME_SHARE));
+        Duration running = stopTimeout.minus(closing);
         Duration arrivals = shorter(MAXIMUM_ARRIVAL_TIME, running.dividedBy(ARRIVAL_TIME_DIVISOR));
-        return new StopSchedule(nowNanos + arrivals.toNanos(), nowNanos + running.toNanos());
+        long endNanos = nowNanos + running.toNanos();
+        return new StopSchedule(
+                nowNanos + arrivals.toNanos(),
+                endNanos,
+                endNanos + share(closing, DELIVERY_TIME_SHARE).toNanos());
     }
 
     /** Returns whether a request may begin. */
@@ -45,4 +54,8 @@
     private static Duration shorter(Duration one, Duration other) {
         return one.compareTo(other) < 0 ? one : other;
     }
+
+    private static Duration share(Duration whole, double share) {
+        return Duration.ofNanos((long) (whole.toNanos() * share));
+    }
 }
