A stop waits for callers that read slowly as long as the process may

Callers that read slowly lost the end of their responses at the end of a stop: the process exited 0.3 s after it, and responses that had begun were broken off there although only their callers held them up. Without slow callers the process exits as early as their connections close. New line 'exiting' with what is left.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -89,8 +89,13 @@
         return reading || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
     }
 
-    /** Ends the request in progress with a response, because the process exits. */
+    /** Ends the request in progress with a response, because the process exits, unless a response has begun. */
     void endRequest() {
+        active.filter(request -> !request.response().hasBegun()).ifPresent(ForwardedRequest::processExits);
+    }
+
+    /** Ends a response that has begun visibly incomplete. */
+    void breakOffResponse() {
         active.ifPresent(ForwardedRequest::processExits);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -73,11 +73,16 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    /** Ends the requests in progress with a response, because the process exits. */
+    /** Ends the requests in progress with a response, because the process exits; responses that have begun go on. */
     public void endRequests() {
         List.copyOf(connections).forEach(CallerConnection::endRequest);
     }
 
+    /** Ends the responses that have begun visibly incomplete, because the process exits now. */
+    public void breakOffResponses() {
+        List.copyOf(connections).forEach(CallerConnection::breakOffResponse);
+    }
+
     /**
      * Returns what the connections do.
      *
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -46,9 +46,6 @@
  * <p>Everything runs on one network thread, since entries run on VMs with one processor.
  */
 public final class EntryNode {
-    /** Time for the last responses to reach their callers. */
-    private static final Duration LAST_RESPONSES_TIME = Duration.ofMillis(300);
-
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
     private static final Duration JOIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -292,18 +289,27 @@
 
     private void stopWhenIdle(StopSchedule schedule, CompletableFuture<Void> stopped) {
         callerServer.closeIdle();
-        if (callerServer.activity().isOver()) {
-            logStop("stopped");
-            stopped.complete(null);
+        boolean timeIsOver = timers.nanoTime() - schedule.endNanos() >= 0;
+        if (!timeIsOver && !callerServer.activity().isOver()) {
+            timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
             return;
         }
-        if (timers.nanoTime() - schedule.endNanos() >= 0) {
-            logStop("stopped");
-            callerServer.endRequests();
-            timers.schedule(LAST_RESPONSES_TIME, () -> stopped.complete(null));
+        logStop("stopped");
+        callerServer.endRequests();
+        exitWhenDelivered(schedule, stopped);
+    }
+
+    /** Waits for callers that read slowly as long as the process may. */
+    private void exitWhenDelivered(StopSchedule schedule, CompletableFuture<Void> stopped) {
+        callerServer.closeIdle();
+        boolean timeIsOver = timers.nanoTime() - schedule.exitNanos() >= 0;
+        if (!timeIsOver && !callerServer.activity().isOver()) {
+            timers.schedule(STOP_CHECK_INTERVAL, () -> exitWhenDelivered(schedule, stopped));
             return;
         }
-        timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
+        logStop("exiting");
+        callerServer.breakOffResponses();
+        stopped.complete(null);
     }
 
     private void logStop(String event) {
