A stop answers the requests that were read behind another one

Callers that send a request before the response to the one before got none, though both had been read: in a stop the first response said that it was the last one, and the rest was dropped. The last response is now the one to the last request that was read.

StopDeliveryTest failed before: 1 of 3 responses arrived.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -283,7 +283,12 @@
 
     private ResponseWriter responseWriter(boolean keepAlive, HttpVersion version) {
         return new CallerResponseWriter(
-                context, delivery, version, () -> !keepAlive || gateway.isStopping(), new ResponseEnds());
+                context, delivery, version, () -> !keepAlive || isLastOfStop(), new ResponseEnds());
+    }
+
+    /** While the process stops, the response to the last request that was read is the last one. */
+    private boolean isLastOfStop() {
+        return gateway.isStopping() && queued.isEmpty();
     }
 
     private void responseEnded(ChannelFuture written, boolean keepOpen) {
