A stop answers requests that are incomplete at its end as not run

Callers of which a part of a request had been read when the process exited got no response, and could not tell whether the request ran. They get 503 now, like those that had not been sent to an upstream. Rejections make their headers and body themselves.

StopDeliveryTest failed before: no byte arrived, with 20 bytes and 1 byte missing.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -1,16 +1,12 @@
 package org.galenahinge.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -20,7 +16,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -65,7 +60,7 @@
         }
         reading = true;
         arrivedNanos = gateway.timers().nanoTime();
-        setTimer(limits.get().headerTimeout(), () -> reject(408, "request_timeout", "the request head took too long"));
+        setTimer(limits.get().headerTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
     /** Closes the connection if it waits for a request; while the process stops, a response in progress is its last. */
@@ -91,6 +86,10 @@
 
     /** Ends the request in progress with a response, because the process exits, unless a response has begun. */
     void endRequest() {
+        if (active.isEmpty() && reading) {
+            reject(Rejection.stopping(gateway.randomFraction()));
+            return;
+        }
         active.filter(request -> !request.response().hasBegun()).ifPresent(ForwardedRequest::processExits);
     }
 
@@ -193,16 +192,16 @@
         }
         Optional<String> fault = RequestFraming.faultOf(head);
         if (fault.isPresent()) {
-            reject(400, "malformed", fault.get());
+            reject(Rejection.of(400, "malformed", fault.get()));
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > limits.get().maximumBodyBytes()) {
-            reject(413, "too_large", "the body is too large");
+            reject(Rejection.of(413, "too_large", "the body is too large"));
             return;
         }
         request = head;
         body = new ByteArrayOutputStream();
-        setTimer(limits.get().idleTimeout(), () -> reject(408, "request_timeout", "the request body took too long"));
+        setTimer(limits.get().idleTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request body took too long")));
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -211,7 +210,7 @@
     private void processContent(HttpContent content) {
         ByteBuf bytes = content.content();
         if (body.size() + (long) bytes.readableBytes() > limits.get().maximumBodyBytes()) {
-            reject(413, "too_large", "the body is too large");
+            reject(Rejection.of(413, "too_large", "the body is too large"));
             return;
         }
         byte[] copy = new byte[bytes.readableBytes()];
@@ -245,14 +244,14 @@
 
     private void rejectMalformed(Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            reject(431, "too_large", "the request head is too large");
+            reject(Rejection.of(431, "too_large", "the request head is too large"));
         } else {
-            reject(400, "malformed", "the request is malformed");
+            reject(Rejection.of(400, "malformed", "the request is malformed"));
         }
     }
 
     /** Rejects a request without forwarding it and closes the connection: what follows on it cannot be trusted. */
-    private void reject(int status, String reason, String detail) {
+    private void reject(Rejection rejection) {
         if (closing) {
             return;
         }
@@ -270,15 +269,14 @@
                                         .readRequest(request.headers())
                                         .requestId()
                                         .orElse("")))
-                .with("status", status)
-                .with("reason", reason)
-                .with("detail", detail)
+                .with("status", rejection.status())
+                .with("reason", rejection.reason())
+                .with("detail", rejection.detail())
                 .write();
-        gateway.metrics().ended(reason);
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        gateway.metrics().ended(rejection.reason());
         responseWriter(false, HttpVersion.HTTP_1_1)
-                .writeComplete(status, headers, Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
+                .writeComplete(
+                        rejection.status(), rejection.headers(gateway.translator()), rejection.body());
     }
 
     private ResponseWriter responseWriter(boolean keepAlive, HttpVersion version) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -1,11 +1,5 @@
 package org.galenahinge.gateway;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -413,10 +407,8 @@
         reject(possiblyRan ? ifMayHaveRun : ifNotRun);
     }
 
-    /** Other entries are available, so that the caller may send the request again soon. */
     private Rejection notRunForStop() {
-        return Rejection.notRun(
-                "stopping", "the entry is stopping", RetryAfterPolicy.whenFull(gateway.randomFraction()));
+        return Rejection.stopping(gateway.randomFraction());
     }
 
     /** After all upstreams have named a time, callers follow the shortest one. */
@@ -482,11 +474,7 @@
             response.breakOff();
             return;
         }
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        rejection.retryAfter().ifPresent(delay -> gateway.translator().setRetryAfter(headers, delay));
-        ByteBuf body = Unpooled.copiedBuffer(rejection.detail() + "\n", StandardCharsets.UTF_8);
-        response.writeComplete(rejection.status(), headers, body);
+        response.writeComplete(rejection.status(), rejection.headers(gateway.translator()), rejection.body());
     }
 
     private void finish(String outcome) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Rejection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Rejection.java
@@ -1,5 +1,11 @@
 package org.galenahinge.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
@@ -28,6 +34,11 @@
         return new Rejection(503, reason, detail, Optional.of(retryAfter));
     }
 
+    /** Rejects a request because the entry stops. Others are available, so that the caller may send it again soon. */
+    static Rejection stopping(double random) {
+        return notRun("stopping", "the entry is stopping", RetryAfterPolicy.whenFull(random));
+    }
+
     /** Reports that the outcome of a request is unknown. */
     static Rejection mayHaveRun(String reason, String detail) {
         return of(502, reason, detail);
@@ -37,4 +48,17 @@
     static Rejection deadlineExceeded(String detail) {
         return of(504, "timeout", detail);
     }
+
+    /** Returns the headers of the response, without those for length and connection. */
+    HttpHeaders headers(RequestTranslator translator) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        retryAfter.ifPresent(delay -> translator.setRetryAfter(headers, delay));
+        return headers;
+    }
+
+    /** Returns the body of the response. */
+    ByteBuf body() {
+        return Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8);
+    }
 }
