--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -1,26 +1,14 @@
 package org.galenahinge.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -28,7 +16,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -50,16 +37,15 @@
     private final Supplier<CallerLimits> limits;
     private final Deque<HttpObject> queued = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    private CallerDelivery delivery;
     private Optional<Timer> timer = Optional.empty();
     private HttpRequest request;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long arrivedNanos;
     private boolean reading;
     private boolean processing;
-    private boolean responseWritten = true;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
-    private boolean bodyEndsWithConnection;
 
     CallerConnection(Gateway gateway, CallerServer server, Supplier<CallerLimits> limits) {
         this.gateway = gateway;
@@ -74,29 +60,48 @@
         }
         reading = true;
         arrivedNanos = gateway.timers().nanoTime();
-        setTimer(limits.get().headerTimeout(), () -> reject(408, "request_timeout", "the request head took too long"));
+        setTimer(limits.get().headerTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
-    /** Closes the connection if it is idle; while the process stops, a response in progress is its last. */
+    /** Closes the connection if it waits for a request; while the process stops, a response in progress is its last. */
     void closeIfIdle() {
-        if (isIdle()) {
-            close();
+        if (phase() == ConnectionPhase.WAITING) {
+            closeGracefully();
         }
     }
 
-    /** Whether no request is being read or forwarded, and all responses have been given to the network. */
-    boolean isIdle() {
-        return active.isEmpty() && !reading && queued.isEmpty() && responseWritten;
+    /** Returns what the connection does; while a request is forwarded, responses before it may still be written. */
+    ConnectionPhase phase() {
+        if (active.isPresent()) {
+            return ConnectionPhase.RUNNING;
+        }
+        if (delivery.isWriting()) {
+            return ConnectionPhase.WRITING;
+        }
+        if (closing) {
+            return ConnectionPhase.LINGERING;
+        }
+        return reading || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
     }
 
-    /** Ends the request in progress with a response, because the process exits. */
+    /** Ends the request in progress with a response, because the process exits, unless a response has begun. */
     void endRequest() {
+        if (active.isEmpty() && reading) {
+            reject(Rejection.stopping(gateway.randomFraction()));
+            return;
+        }
+        active.filter(request -> !request.response().hasBegun()).ifPresent(ForwardedRequest::processExits);
+    }
+
+    /** Ends a response that has begun visibly incomplete. */
+    void breakOffResponse() {
         active.ifPresent(ForwardedRequest::processExits);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
+        delivery = new CallerDelivery(newContext);
         server.opened(this);
         startIdleTimer();
     }
@@ -160,7 +165,7 @@
                     .with("detail", cause.toString())
                     .write();
         }
-        closeChannel(newContext.channel());
+        delivery.close();
     }
 
     private void process(HttpObject message) {
@@ -187,16 +192,16 @@
         }
         Optional<String> fault = RequestFraming.faultOf(head);
         if (fault.isPresent()) {
-            reject(400, "malformed", fault.get());
+            reject(Rejection.of(400, "malformed", fault.get()));
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > limits.get().maximumBodyBytes()) {
-            reject(413, "too_large", "the body is too large");
+            reject(Rejection.of(413, "too_large", "the body is too large"));
             return;
         }
         request = head;
         body = new ByteArrayOutputStream();
-        setTimer(limits.get().idleTimeout(), () -> reject(408, "request_timeout", "the request body took too long"));
+        setTimer(limits.get().idleTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request body took too long")));
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -205,7 +210,7 @@
     private void processContent(HttpContent content) {
         ByteBuf bytes = content.content();
         if (body.size() + (long) bytes.readableBytes() > limits.get().maximumBodyBytes()) {
-            reject(413, "too_large", "the body is too large");
+            reject(Rejection.of(413, "too_large", "the body is too large"));
             return;
         }
         byte[] copy = new byte[bytes.readableBytes()];
@@ -230,7 +235,7 @@
         request = null;
         reading = false;
         body = new ByteArrayOutputStream();
-        Writer writer = new Writer(HttpUtil.isKeepAlive(head), head.protocolVersion());
+        ResponseWriter writer = responseWriter(HttpUtil.isKeepAlive(head), head.protocolVersion());
         // The response may be written before start() returns, so the active request is set first.
         ForwardedRequest forwarded = new ForwardedRequest(gateway, callerRequest, writer);
         active = Optional.of(forwarded);
@@ -239,14 +244,14 @@
 
     private void rejectMalformed(Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            reject(431, "too_large", "the request head is too large");
+            reject(Rejection.of(431, "too_large", "the request head is too large"));
         } else {
-            reject(400, "malformed", "the request is malformed");
+            reject(Rejection.of(400, "malformed", "the request is malformed"));
         }
     }
 
     /** Rejects a request without forwarding it and closes the connection: what follows on it cannot be trusted. */
-    private void reject(int status, String reason, String detail) {
+    private void reject(Rejection rejection) {
         if (closing) {
             return;
         }
@@ -264,15 +269,24 @@
                                         .readRequest(request.headers())
                                         .requestId()
                                         .orElse("")))
-                .with("status", status)
-                .with("reason", reason)
-                .with("detail", detail)
+                .with("status", rejection.status())
+                .with("reason", rejection.reason())
+                .with("detail", rejection.detail())
                 .write();
-        gateway.metrics().ended(reason);
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        new Writer(false, HttpVersion.HTTP_1_1)
-                .writeComplete(status, headers, Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8));
+        gateway.metrics().ended(rejection.reason());
+        responseWriter(false, HttpVersion.HTTP_1_1)
+                .writeComplete(
+                        rejection.status(), rejection.headers(gateway.translator()), rejection.body());
+    }
+
+    private ResponseWriter responseWriter(boolean keepAlive, HttpVersion version) {
+        return new CallerResponseWriter(
+                context, delivery, version, () -> !keepAlive || isLastOfStop(), new ResponseEnds());
+    }
+
+    /** While the process stops, the response to the last request that was read is the last one. */
+    private boolean isLastOfStop() {
+        return gateway.isStopping() && queued.isEmpty();
     }
 
     private void responseEnded(ChannelFuture written, boolean keepOpen) {
@@ -280,8 +294,7 @@
         arrivedNanos = 0;
         reading = false;
         request = null;
-        responseWritten = false;
-        written.addListener(done -> responseWritten = true);
+        delivery.responseEnded(written);
         if (!keepOpen) {
             closeAfter(written);
             return;
@@ -292,7 +305,16 @@
     }
 
     private void startIdleTimer() {
-        setTimer(limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::close);
+        setTimer(limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::idleTimeReached);
+    }
+
+    /** A caller that does not take its responses in the time of an idle connection is not waited for. */
+    private void idleTimeReached() {
+        if (delivery.isWriting()) {
+            close();
+        } else {
+            closeGracefully();
+        }
     }
 
     /** Closes the connection once its caller has taken the last response, or has not for the time of an idle one. */
@@ -310,24 +332,16 @@
         if (!context.channel().isActive()) {
             return;
         }
-        if (context.channel() instanceof SocketChannel socket) {
-            socket.shutdownOutput();
-        }
+        closing = true;
+        context.channel().config().setAutoRead(true);
+        delivery.shutDown();
         setTimer(CLOSE_LINGER, () -> context.close());
     }
 
     private void close() {
         closing = true;
         timer.ifPresent(Timer::cancel);
-        closeChannel(context.channel());
-    }
-
-    /** A body that ends with its connection would look complete if that were closed and not reset. */
-    private void closeChannel(Channel channel) {
-        if (bodyEndsWithConnection) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        }
-        channel.close();
+        delivery.close();
     }
 
     private void setTimer(Duration after, Runnable action) {
@@ -335,98 +349,16 @@
         timer = Optional.of(gateway.timers().schedule(after, action));
     }
 
-    private final class Writer implements ResponseWriter {
-        private final boolean keepAlive;
-        private final HttpVersion version;
-        private boolean chunked;
-        private boolean last;
-        private boolean finished;
-
-        Writer(boolean keepAlive, HttpVersion version) {
-            this.keepAlive = keepAlive;
-            this.version = version;
-        }
-
+    private final class ResponseEnds implements CallerResponseWriter.Listener {
         @Override
-        public void writeComplete(int status, HttpHeaders headers, ByteBuf content) {
-            if (isFinished()) {
-                content.release();
-                return;
-            }
-            finished = true;
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    content,
-                    headers,
-                    new DefaultHttpHeaders());
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            setConnectionHeader(response);
-            ChannelFuture written = context.writeAndFlush(response);
-            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-            responseEnded(written, !last);
-        }
-
-        @Override
-        public void writeHead(int status, HttpHeaders headers) {
-            if (isFinished()) {
-                return;
-            }
-            HttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-            chunked = version.equals(HttpVersion.HTTP_1_1);
-            bodyEndsWithConnection = !chunked;
-            if (chunked) {
-                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            }
-            setConnectionHeader(response);
-            context.write(response, context.voidPromise());
+        public void responseEnded(ChannelFuture written, boolean keepOpen) {
+            CallerConnection.this.responseEnded(written, keepOpen);
         }
 
         @Override
-        public void writePart(ByteBuf content) {
-            if (isFinished()) {
-                content.release();
-                return;
-            }
-            context.writeAndFlush(new DefaultHttpContent(content), context.voidPromise());
-        }
-
-        @Override
-        public void finish() {
-            if (isFinished()) {
-                return;
-            }
-            finished = true;
-            bodyEndsWithConnection = false;
-            ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            responseEnded(written, !last && chunked);
-        }
-
-        @Override
-        public void abort() {
-            if (isFinished()) {
-                return;
-            }
-            finished = true;
+        public void responseAborted() {
             active = Optional.empty();
             close();
         }
-
-        @Override
-        public boolean isWritable() {
-            return context.channel().isWritable();
-        }
-
-        private boolean isFinished() {
-            return finished || !context.channel().isActive();
-        }
-
-        private void setConnectionHeader(HttpResponse response) {
-            last = !keepAlive || gateway.isStopping();
-            if (last) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
     }
 }
--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
@@ -0,0 +1,52 @@
+package org.galenahinge.gateway;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import java.util.Objects;
+
+/**
+ * What is on its way to the caller of a connection: its responses, and after them the end of the connection. Used by the
+ * gateway's thread only.
+ */
+final class CallerDelivery {
+    private final ChannelHandlerContext context;
+    private int unwrittenResponses;
+    private boolean bodyEndsWithConnection;
+
+    CallerDelivery(ChannelHandlerContext context) {
+        this.context = Objects.requireNonNull(context, "context");
+    }
+
+    /** Records a response that ends with a write; several may be on their way. */
+    void responseEnded(ChannelFuture lastWrite) {
+        unwrittenResponses++;
+        lastWrite.addListener(done -> unwrittenResponses--);
+    }
+
+    /** Records whether the body that is being written is complete only if the connection is closed in order. */
+    void setBodyEndsWithConnection(boolean endsWithConnection) {
+        bodyEndsWithConnection = endsWithConnection;
+    }
+
+    /** Whether responses have ended that were not yet given to the network. */
+    boolean isWriting() {
+        return unwrittenResponses > 0;
+    }
+
+    /** Tells the caller that nothing follows; what it sends is still read, so that it does not reset the connection. */
+    void shutDown() {
+        if (context.channel() instanceof SocketChannel socket) {
+            socket.shutdownOutput();
+        }
+    }
+
+    /** Closes the connection. A body that ends with it would look complete if it were closed and not reset. */
+    void close() {
+        if (bodyEndsWithConnection) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        context.channel().close();
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -73,19 +73,24 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    /** Ends the requests in progress with a response, because the process exits. */
+    /** Ends the requests in progress with a response, because the process exits; responses that have begun go on. */
     public void endRequests() {
         List.copyOf(connections).forEach(CallerConnection::endRequest);
     }
 
+    /** Ends the responses that have begun visibly incomplete, because the process exits now. */
+    public void breakOffResponses() {
+        List.copyOf(connections).forEach(CallerConnection::breakOffResponse);
+    }
+
     /**
-     * Returns the number of requests in progress.
+     * Returns what the connections do.
      *
-     * @return the number of connections that are not idle
+     * @return how many of them do what
      */
-    public int activeRequests() {
-        return (int)
-                connections.stream().filter(connection -> !connection.isIdle()).count();
+    public CallerActivity activity() {
+        return CallerActivity.of(
+                connections.stream().map(CallerConnection::phase).toList());
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -22,6 +22,7 @@
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.facts.StorePosition;
+import org.galenahinge.gateway.CallerActivity;
 import org.galenahinge.gateway.CallerServer;
 import org.galenahinge.gateway.Gateway;
 import org.galenahinge.gateway.GatewaySettings;
@@ -45,9 +46,6 @@
  * <p>Everything runs on one network thread, since entries run on VMs with one processor.
  */
 public final class EntryNode {
-    /** Time for the last responses to reach their callers. */
-    private static final Duration LAST_RESPONSES_TIME = Duration.ofMillis(300);
-
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
     private static final Duration JOIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -282,9 +280,7 @@
         ready = false;
         long now = timers.nanoTime();
         StopSchedule schedule = StopSchedule.beginningAt(now, settings.bounds().stopTimeout());
-        log.event(Category.LIFECYCLE, "stopping")
-                .with("busy", callerServer.activeRequests())
-                .write();
+        logStop("stopping");
         membership.leave();
         gateway.announceStop(schedule);
         Duration arrivals = Duration.ofNanos(schedule.lastArrivalNanos() - now);
@@ -293,22 +289,39 @@
 
     private void stopWhenIdle(StopSchedule schedule, CompletableFuture<Void> stopped) {
         callerServer.closeIdle();
-        if (callerServer.activeRequests() == 0) {
-            logStopped(0);
-            stopped.complete(null);
+        boolean timeIsOver = timers.nanoTime() - schedule.endNanos() >= 0;
+        if (!timeIsOver && !callerServer.activity().isOver()) {
+            timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
             return;
         }
-        if (timers.nanoTime() - schedule.endNanos() >= 0) {
-            logStopped(callerServer.activeRequests());
-            callerServer.endRequests();
-            timers.schedule(LAST_RESPONSES_TIME, () -> stopped.complete(null));
+        logStop("stopped");
+        callerServer.endRequests();
+        exitWhenDelivered(schedule, stopped);
+    }
+
+    /** Waits for callers that read slowly as long as the process may. */
+    private void exitWhenDelivered(StopSchedule schedule, CompletableFuture<Void> stopped) {
+        callerServer.closeIdle();
+        boolean timeIsOver = timers.nanoTime() - schedule.exitNanos() >= 0;
+        if (!timeIsOver && !callerServer.activity().isOver()) {
+            timers.schedule(STOP_CHECK_INTERVAL, () -> exitWhenDelivered(schedule, stopped));
             return;
         }
-        timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
+        logStop("exiting");
+        callerServer.breakOffResponses();
+        stopped.complete(null);
     }
 
-    private void logStopped(int busy) {
-        log.event(Category.LIFECYCLE, "stopped").with("busy", busy).write();
+    private void logStop(String event) {
+        CallerActivity activity = callerServer.activity();
+        log.event(Category.LIFECYCLE, event)
+                .with("busy", activity.busy())
+                .with("waiting", activity.waiting())
+                .with("reading", activity.reading())
+                .with("running", activity.running())
+                .with("writing", activity.writing())
+                .with("lingering", activity.lingering())
+                .write();
     }
 
     private void loadReported(LoadCodec.UpstreamReport load) {
