Split VersionRollout from EngineWeightsController, behaviour unchanged

What entries tell of named versions and of the times of loads is a class of its own now. EngineWeightsControllerTest, LoadAnnouncerTest and SlotNodeTest pass unchanged.

--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -12,8 +12,6 @@
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.supply.EngineControl.EngineReport;
 import org.galenahinge.supply.EngineControl.LoadResult;
-import org.galenahinge.upstream.NamedVersion;
-import org.galenahinge.upstream.VersionAges;
 import org.galenahinge.upstream.VersionAges.AgedVersion;
 import org.galenahinge.upstream.WeightsVersion;
 
@@ -25,7 +23,6 @@
  */
 public final class EngineWeightsController {
     private static final Duration VERIFICATION_VALID_FOR = Duration.ofMillis(1_200);
-    private static final Duration LATE_ENGINE_RESERVE = Duration.ofMillis(1_400);
     private static final Duration LOAD_EFFECT_TIMEOUT = Duration.ofSeconds(2);
     /** The time between announcing the load and sending the command, in which entries stop sending new requests. */
     private static final Duration QUIESCE_DELAY = Duration.ofMillis(100);
@@ -34,14 +31,10 @@
     private final ChunkStaging.Resources stagingResources;
     private final Timers timers;
     private final EventLog log;
-    private final Duration versionRolloutTime;
+    private final VersionRollout rollout;
     private Consumer<EngineReport> beforeLoad = report -> {};
-    private final VersionAges versionAges = new VersionAges();
     private Optional<WeightsDigests> target = Optional.empty();
     private long targetSetNanos;
-    private long newestNamedVersion;
-    private LoadSchedule schedule = LoadSchedule.UNKNOWN;
-    private long scheduleReceivedNanos;
     private Optional<Long> loadAtNanos = Optional.empty();
     private Optional<Long> awaitedLoadNanos = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
@@ -55,12 +48,12 @@
     private EngineWeightsController(
             EngineControl engine,
             Function<Integer, Optional<WeightsSource>> sources,
-            Duration versionRolloutTime,
+            VersionRollout rollout,
             Timers timers,
             EventLog log,
             MetricRegistry metrics) {
         this.engine = engine;
-        this.versionRolloutTime = versionRolloutTime;
+        this.rollout = rollout;
         this.timers = timers;
         this.log = log;
         this.stagingResources = new ChunkStaging.Resources(
@@ -93,8 +86,8 @@
         return new EngineWeightsController(
                 Objects.requireNonNull(engine, "engine"),
                 Objects.requireNonNull(sources, "sources"),
-                Objects.requireNonNull(versionRolloutTime, "versionRolloutTime"),
-                Objects.requireNonNull(timers, "timers"),
+                VersionRollout.create(versionRolloutTime, timers),
+                timers,
                 Objects.requireNonNull(log, "log"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
@@ -122,10 +115,9 @@
     public void setTarget(WeightsDigests digests, LoadSchedule newSchedule) {
         long named = Math.max(newSchedule.newest(), digests.weights().version());
         takeSchedule(digests.weights().model(), newSchedule);
-        if (named < newestNamedVersion) {
+        if (!rollout.isNewest(named)) {
             return;
         }
-        newestNamedVersion = named;
         long before = targetVersion();
         boolean loaded =
                 report.filter(state -> hasLoaded(state, digests.weights())).isPresent();
@@ -157,23 +149,10 @@
         target.ifPresent(digests -> takeSchedule(digests.weights().model(), newSchedule));
     }
 
-    /** Takes the ages that a schedule tells, and the schedule unless its sender does not know the newest version yet. */
     private void takeSchedule(String model, LoadSchedule newSchedule) {
-        addAges(model, newSchedule);
-        if (newSchedule.newest() < newestNamedVersion) {
-            return;
+        if (rollout.takeSchedule(model, newSchedule)) {
+            bringLoadForward();
         }
-        scheduleReceivedNanos = timers.nanoTime();
-        schedule = newSchedule.withAges(model, versionAges, scheduleReceivedNanos);
-        bringLoadForward();
-    }
-
-    private void addAges(String model, LoadSchedule told) {
-        long now = timers.nanoTime();
-        told.versions().stream()
-                .filter(NamedVersion::isAgeKnown)
-                .map(named -> new AgedVersion(new WeightsVersion(model, named.version()), named.maximumAge()))
-                .forEach(version -> versionAges.add(version, now));
     }
 
     /**
@@ -182,7 +161,7 @@
      * @return the versions whose age any entry has told
      */
     public List<AgedVersion> versionsInRollout() {
-        return versionAges.namedWithin(versionRolloutTime, timers.nanoTime());
+        return rollout.versionsInRollout();
     }
 
     /**
@@ -388,11 +367,7 @@
     }
 
     private Duration untilScheduledLoad() {
-        Duration sinceReceived = Duration.ofNanos(timers.nanoTime() - scheduleReceivedNanos);
-        return report.flatMap(EngineReport::weights)
-                .map(loaded ->
-                        schedule.untilLoad(loaded.version(), sinceReceived, versionRolloutTime, LATE_ENGINE_RESERVE))
-                .orElse(Duration.ZERO);
+        return report.flatMap(EngineReport::weights).map(rollout::untilLoad).orElse(Duration.ZERO);
     }
 
     private void announceLoad(ChunkStaging finished) {
@@ -431,9 +406,8 @@
 
     /** Returns the time since the target was named, or since it was set if nobody has told its age. */
     private long millisSinceNamed() {
-        long now = timers.nanoTime();
-        return target.flatMap(digests -> versionAges.age(digests.weights(), now))
-                .orElse(Duration.ofNanos(now - targetSetNanos))
+        return target.flatMap(digests -> rollout.age(digests.weights()))
+                .orElse(Duration.ofNanos(timers.nanoTime() - targetSetNanos))
                 .toMillis();
     }
 }
