--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.galenahinge.concurrent.Timers;
@@ -12,8 +13,6 @@
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.supply.EngineControl.EngineReport;
 import org.galenahinge.supply.EngineControl.LoadResult;
-import org.galenahinge.upstream.NamedVersion;
-import org.galenahinge.upstream.VersionAges;
 import org.galenahinge.upstream.VersionAges.AgedVersion;
 import org.galenahinge.upstream.WeightsVersion;
 
@@ -21,27 +20,28 @@
  * Brings one engine to its target version of weights: stages the chunks, reads every one back, and sends the load
  * command only if all match their digests. Belongs to one thread.
  *
- * <p>Staged chunks may become corrupt at any time, so they are read back again if the load command has to wait.
+ * <p>Staged chunks may become corrupt at any time, so they are read back again if the load command has to wait, or if
+ * the process or its VM was suspended before the command was written.
  */
 public final class EngineWeightsController {
     private static final Duration VERIFICATION_VALID_FOR = Duration.ofMillis(1_200);
-    private static final Duration LATE_ENGINE_RESERVE = Duration.ofMillis(1_400);
     private static final Duration LOAD_EFFECT_TIMEOUT = Duration.ofSeconds(2);
     /** The time between announcing the load and sending the command, in which entries stop sending new requests. */
     private static final Duration QUIESCE_DELAY = Duration.ofMillis(100);
+    /** The time for the command to be written once it is due, and for timers that run late. */
+    private static final Duration COMMAND_RESERVE = Duration.ofMillis(500);
+
+    private static final Duration COMMAND_VALID_FOR =
+            VERIFICATION_VALID_FOR.plus(QUIESCE_DELAY).plus(COMMAND_RESERVE);
 
     private final EngineControl engine;
     private final ChunkStaging.Resources stagingResources;
     private final Timers timers;
     private final EventLog log;
-    private final Duration versionRolloutTime;
+    private final VersionRollout rollout;
     private Consumer<EngineReport> beforeLoad = report -> {};
-    private final VersionAges versionAges = new VersionAges();
     private Optional<WeightsDigests> target = Optional.empty();
     private long targetSetNanos;
-    private long newestNamedVersion;
-    private LoadSchedule schedule = LoadSchedule.UNKNOWN;
-    private long scheduleReceivedNanos;
     private Optional<Long> loadAtNanos = Optional.empty();
     private Optional<Long> awaitedLoadNanos = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
@@ -55,12 +55,12 @@
     private EngineWeightsController(
             EngineControl engine,
             Function<Integer, Optional<WeightsSource>> sources,
-            Duration versionRolloutTime,
+            VersionRollout rollout,
             Timers timers,
             EventLog log,
             MetricRegistry metrics) {
         this.engine = engine;
-        this.versionRolloutTime = versionRolloutTime;
+        this.rollout = rollout;
         this.timers = timers;
         this.log = log;
         this.stagingResources = new ChunkStaging.Resources(
@@ -93,8 +93,8 @@
         return new EngineWeightsController(
                 Objects.requireNonNull(engine, "engine"),
                 Objects.requireNonNull(sources, "sources"),
-                Objects.requireNonNull(versionRolloutTime, "versionRolloutTime"),
-                Objects.requireNonNull(timers, "timers"),
+                VersionRollout.create(versionRolloutTime, timers),
+                timers,
                 Objects.requireNonNull(log, "log"),
                 Objects.requireNonNull(metrics, "metrics"));
     }
@@ -122,10 +122,9 @@
     public void setTarget(WeightsDigests digests, LoadSchedule newSchedule) {
         long named = Math.max(newSchedule.newest(), digests.weights().version());
         takeSchedule(digests.weights().model(), newSchedule);
-        if (named < newestNamedVersion) {
+        if (!rollout.isNewest(named)) {
             return;
         }
-        newestNamedVersion = named;
         long before = targetVersion();
         boolean loaded =
                 report.filter(state -> hasLoaded(state, digests.weights())).isPresent();
@@ -157,23 +156,10 @@
         target.ifPresent(digests -> takeSchedule(digests.weights().model(), newSchedule));
     }
 
-    /** Takes the ages that a schedule tells, and the schedule unless its sender does not know the newest version yet. */
     private void takeSchedule(String model, LoadSchedule newSchedule) {
-        addAges(model, newSchedule);
-        if (newSchedule.newest() < newestNamedVersion) {
-            return;
+        if (rollout.takeSchedule(model, newSchedule)) {
+            bringLoadForward();
         }
-        scheduleReceivedNanos = timers.nanoTime();
-        schedule = newSchedule.withAges(model, versionAges, scheduleReceivedNanos);
-        bringLoadForward();
-    }
-
-    private void addAges(String model, LoadSchedule told) {
-        long now = timers.nanoTime();
-        told.versions().stream()
-                .filter(NamedVersion::isAgeKnown)
-                .map(named -> new AgedVersion(new WeightsVersion(model, named.version()), named.maximumAge()))
-                .forEach(version -> versionAges.add(version, now));
     }
 
     /**
@@ -182,7 +168,7 @@
      * @return the versions whose age any entry has told
      */
     public List<AgedVersion> versionsInRollout() {
-        return versionAges.namedWithin(versionRolloutTime, timers.nanoTime());
+        return rollout.versionsInRollout();
     }
 
     /**
@@ -335,7 +321,7 @@
      * only verified before their upload, or may have become corrupt meanwhile, so a new staging reads them back first.
      */
     private void onStagingComplete(ChunkStaging finished) {
-        if (finished.fetched() > 0 || finished.duration().compareTo(VERIFICATION_VALID_FOR) > 0) {
+        if (finished.fetched() > 0 || !finished.isStartedWithin(VERIFICATION_VALID_FOR)) {
             log.event(Category.BELIEF, "weights_staged")
                     .with("version", finished.digests().weights().version())
                     .with("fetched", finished.fetched())
@@ -388,11 +374,7 @@
     }
 
     private Duration untilScheduledLoad() {
-        Duration sinceReceived = Duration.ofNanos(timers.nanoTime() - scheduleReceivedNanos);
-        return report.flatMap(EngineReport::weights)
-                .map(loaded ->
-                        schedule.untilLoad(loaded.version(), sinceReceived, versionRolloutTime, LATE_ENGINE_RESERVE))
-                .orElse(Duration.ZERO);
+        return report.flatMap(EngineReport::weights).map(rollout::untilLoad).orElse(Duration.ZERO);
     }
 
     private void announceLoad(ChunkStaging finished) {
@@ -411,11 +393,16 @@
             staging = Optional.empty();
             return;
         }
+        if (!finished.isStartedWithin(COMMAND_VALID_FOR)) {
+            verifyAgain(finished);
+            return;
+        }
         WeightsVersion weights = finished.digests().weights();
         long expected = report.get().acceptedCommands();
         commanded = Optional.of(weights);
         commandedNanos = timers.nanoTime();
-        engine.load(weights, expected).whenComplete((result, error) -> {
+        BooleanSupplier stillValid = () -> finished.isStartedWithin(COMMAND_VALID_FOR);
+        engine.load(weights, expected, stillValid).whenComplete((result, error) -> {
             staging = Optional.empty();
             boolean accepted = error == null && (result == LoadResult.BEGUN || result == LoadResult.IN_EFFECT);
             // A command without a response may have been accepted as well; the next report shows it.
@@ -429,11 +416,20 @@
         });
     }
 
+    /** The staged chunks may have become corrupt since they were read back: the process was suspended. */
+    private void verifyAgain(ChunkStaging outdated) {
+        log.event(Category.BELIEF, "weights_verification_outdated")
+                .with("version", outdated.digests().weights().version())
+                .with("after_ms", millisSinceNamed())
+                .write();
+        loading = false;
+        startStaging();
+    }
+
     /** Returns the time since the target was named, or since it was set if nobody has told its age. */
     private long millisSinceNamed() {
-        long now = timers.nanoTime();
-        return target.flatMap(digests -> versionAges.age(digests.weights(), now))
-                .orElse(Duration.ofNanos(now - targetSetNanos))
+        return target.flatMap(digests -> rollout.age(digests.weights()))
+                .orElse(Duration.ofNanos(timers.nanoTime() - targetSetNanos))
                 .toMillis();
     }
 }
