An entry's time to stop counts from the signal, not from the event loop

Callers saw (possible, not seen in the record): an entry on a starved processor began to stop late, took requests as if all of its time were left, and was killed while they ran.

Cause: the schedule of the stop began when the event loop got to it. The kill comes a fixed time after SIGTERM.

Evidence: EntryStopTimeTest keeps the event loop busy for 900 ms as the stop is asked for.

Why it works: stop takes the time when the signal was received, and the schedule counts from it.

--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -208,11 +208,13 @@
     /**
      * Stops gracefully: announces the stop to callers and nodes, then lets running requests finish.
      *
+     * @param signalNanos when the signal to stop was received, in nanoseconds of {@link System#nanoTime()}; the time to
+     *     stop counts from it
      * @return completed when no request is running, or when the time to stop has passed
      */
-    public CompletionStage<Void> stop() {
+    public CompletionStage<Void> stop(long signalNanos) {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        threads.group().next().execute(() -> beginStop(stopped));
+        threads.group().next().execute(() -> beginStop(signalNanos, stopped));
         return stopped;
     }
 
@@ -277,17 +279,17 @@
                 .write();
     }
 
-    private void beginStop(CompletableFuture<Void> stopped) {
+    private void beginStop(long signalNanos, CompletableFuture<Void> stopped) {
         stopping = true;
         ready = false;
-        long now = timers.nanoTime();
-        StopSchedule schedule = StopSchedule.beginningAt(now, settings.bounds().stopTimeout());
+        StopSchedule schedule =
+                StopSchedule.beginningAt(signalNanos, settings.bounds().stopTimeout());
         log.event(Category.LIFECYCLE, "stopping")
                 .with("busy", callerServer.activeRequests())
                 .write();
         membership.leave();
         gateway.announceStop(schedule);
-        Duration arrivals = Duration.ofNanos(schedule.lastArrivalNanos() - now);
+        Duration arrivals = Duration.ofNanos(schedule.lastArrivalNanos() - timers.nanoTime());
         timers.schedule(arrivals, () -> stopWhenIdle(schedule, stopped));
     }
 
