A signal that comes again, or during the start, no longer ends a process with what it has taken

SIGHUP or SIGTERM during the start ended the process, exit code 129 or 143. SIGHUP ended the daemons at any time.

Cause: ProcessSignals halted the process at a second stop signal, and handlers were set only after the start, so that a signal before had the virtual machine's own effect. The daemons had no handler for SIGHUP.

Why it works: handlers are set as the first act of main and hand signals to SignalInbox. It remembers them until the process is up, begins one stop, and does nothing but log a signal that comes after. The stop is bounded in time on the platform, and SIGKILL ends a process at once. The main thread ends the process if it fails, since a process that never gets up would act on no signal.

Logs: a line for each signal (signal) and one at the end of a process (process_end); names of other lines do not change. Exit code 130 of a forced stop is gone.

--- a/galenahinge/src/main/java/org/galenahinge/daemon/DaemonMain.java
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/DaemonMain.java
@@ -15,6 +15,7 @@
 import org.galenahinge.settings.SlotSettings;
 import org.galenahinge.settings.VmSettings;
 import org.galenahinge.slot.SlotDaemon;
+import org.jboss.logging.Logger;
 
 /** Starts {@code galenahinged entry} or {@code galenahinged slot}. */
 public final class DaemonMain {
@@ -25,16 +26,17 @@
     private DaemonMain() {}
 
     /**
-     * Runs a daemon until it is stopped by a signal. Exits with 0 after a graceful stop, 1 when it cannot start and
+     * Runs a daemon until it is stopped by a signal. HUP changes nothing, since a daemon reads its settings once. Exits with 0 after a graceful stop, 1 when it cannot start and
      * 2 when a setting is invalid.
      *
      * @param arguments {@code entry} or {@code slot}, then the flags of that daemon
      */
     public static void main(String[] arguments) {
-        System.exit(run(Arrays.asList(arguments), System.getenv()));
+        SignalInbox signals = ProcessStart.begin(EXIT_START_FAILED);
+        System.exit(run(Arrays.asList(arguments), System.getenv(), signals));
     }
 
-    private static int run(List<String> arguments, Map<String, String> environment) {
+    private static int run(List<String> arguments, Map<String, String> environment, SignalInbox signals) {
         String kind = arguments.isEmpty() ? "" : arguments.get(0);
         if (!kind.equals("entry") && !kind.equals("slot")) {
             System.err.println(USAGE);
@@ -47,7 +49,7 @@
             return 0;
         }
         try {
-            return kind.equals("entry") ? runEntry(flags, environment) : runSlot(flags, environment);
+            return kind.equals("entry") ? runEntry(flags, environment, signals) : runSlot(flags, environment, signals);
         } catch (SettingsException e) {
             System.err.println("galenahinged " + kind + ": " + e.getMessage());
             return EXIT_INVALID_SETTINGS;
@@ -57,27 +59,38 @@
         }
     }
 
-    private static int runEntry(List<String> flags, Map<String, String> environment) throws IOException {
+    private static int runEntry(List<String> flags, Map<String, String> environment, SignalInbox signals)
+            throws IOException {
         EntrySettings settings = EntrySettings.read(flags, environment);
         setUpLog(settings.vmSettings());
         EntryDaemon daemon = EntryDaemon.start(settings);
-        return runUntilStopped(daemon::stop);
+        return runUntilStopped(daemon::stop, signals);
     }
 
-    private static int runSlot(List<String> flags, Map<String, String> environment) throws IOException {
+    private static int runSlot(List<String> flags, Map<String, String> environment, SignalInbox signals)
+            throws IOException {
         SlotSettings settings = SlotSettings.read(flags, environment);
         setUpLog(settings.vmSettings());
         SlotDaemon daemon = SlotDaemon.start(settings);
-        return runUntilStopped(daemon::stop);
+        return runUntilStopped(daemon::stop, signals);
     }
 
     private static void setUpLog(VmSettings vmSettings) {
         LogSetup.apply(vmSettings.logFormat(), vmSettings.logLevel());
     }
 
-    private static int runUntilStopped(Supplier<CompletionStage<Void>> stop) {
+    private static int runUntilStopped(Supplier<CompletionStage<Void>> stop, SignalInbox signals) {
+        Logger log = Logger.getLogger(DaemonMain.class);
         CountDownLatch stopped = new CountDownLatch(1);
-        ProcessSignals.listenForStop(() -> stop.get().whenComplete((done, error) -> stopped.countDown()));
+        signals.open(
+                new SignalInbox.Reactions(
+                        handled -> logSignal(log, handled),
+                        () -> log.info("no settings to reload: they are read once, at the start"),
+                        ignored -> stop.get().whenComplete((done, error) -> {
+                            logEnd(log, error, signals.received());
+                            stopped.countDown();
+                        })),
+                System.nanoTime());
         try {
             stopped.await();
             return 0;
@@ -86,4 +99,21 @@
             return EXIT_START_FAILED;
         }
     }
+
+    private static void logSignal(Logger log, SignalInbox.Handled handled) {
+        log.infof(
+                "signal %s, number %d: %s, remembered for %d ms",
+                handled.signal(),
+                handled.count(),
+                handled.action().text(),
+                handled.remembered().toMillis());
+    }
+
+    private static void logEnd(Logger log, Throwable error, int signals) {
+        if (error != null) {
+            log.warnf(error, "the stop failed; the process ends after %d signals", signals);
+            return;
+        }
+        log.infof("the stop is complete; the process ends after %d signals", signals);
+    }
 }
