--- a/galenahinge/src/test/java/org/galenahinge/http/KeepAliveClientTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/http/KeepAliveClientTest.java
@@ -31,7 +31,9 @@
                 return Optional.empty();
             });
             CompletableFuture<String> outcomes = new CompletableFuture<>();
-            threads.group().next().execute(() -> sendThree(KeepAliveClient.to(threads, address, MAXIMUM_BYTES), outcomes));
+            threads.group()
+                    .next()
+                    .execute(() -> sendThree(KeepAliveClient.to(threads, address, MAXIMUM_BYTES), outcomes));
             assertThat(outcomes.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS)).isEqualTo("404 failed 404");
         }
         assertThat(received).containsExactly("/first", "/third");
