Do not load chunks that became corrupt while the slot process was suspended

What callers saw: a draft made with a corrupt chunk of weights. A slot process that is suspended in the 0.1 s between the read-back of the staged chunks and the load command sent the command when it ran again, whatever had happened to the chunks meanwhile.

Cause: the age of the verification was checked when the read-back ended, not when the command was sent.

Why it works: the time since the read-back started is checked when the command is due, and once more when it is written, as it may wait for a connection or for other requests. It counts by the monotonic clock and by the time of day, since either may not count a suspension; a time of day that was set costs one more read-back at most. After 1.8 s the chunks are read back again.

--- /dev/null
+++ b/galenahinge/src/main/java/org/galenahinge/concurrent/Moment.java
@@ -0,0 +1,49 @@
+package org.galenahinge.concurrent;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Objects;
+
+/**
+ * A moment by two clocks. The monotonic clock may not count while the VM is suspended; the time of day may be set
+ * forward or back.
+ *
+ * @param nanos the monotonic time, in nanoseconds since an arbitrary point in time
+ * @param timeOfDay the time of day
+ */
+public record Moment(long nanos, Instant timeOfDay) {
+    /**
+     * Creates a moment.
+     *
+     * @param nanos the monotonic time, in nanoseconds since an arbitrary point in time
+     * @param timeOfDay the time of day
+     */
+    public Moment {
+        Objects.requireNonNull(timeOfDay, "timeOfDay");
+    }
+
+    /**
+     * Returns the present moment.
+     *
+     * @param timers the clocks
+     * @return the moment
+     */
+    public static Moment now(Timers timers) {
+        return new Moment(timers.nanoTime(), timers.timeOfDay());
+    }
+
+    /**
+     * Tells whether at most the given time has passed since an earlier moment, by both clocks. If the time of day was set
+     * back meanwhile to before that moment, nothing is known of the time that passed, so that the answer is no.
+     *
+     * @param limit the maximum time
+     * @param earlier the earlier moment of the same process
+     * @return whether no clock says otherwise
+     */
+    public boolean isWithin(Duration limit, Moment earlier) {
+        Duration byTimeOfDay = Duration.between(earlier.timeOfDay, timeOfDay);
+        return nanos - earlier.nanos <= limit.toNanos()
+                && !byTimeOfDay.isNegative()
+                && byTimeOfDay.compareTo(limit) <= 0;
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/concurrent/Timers.java
+++ b/galenahinge/src/main/java/org/galenahinge/concurrent/Timers.java
@@ -1,6 +1,7 @@
 package org.galenahinge.concurrent;
 
 import java.time.Duration;
+import java.time.Instant;
 
 /** Clock and timers of one thread. Tests use an implementation whose time they advance explicitly. */
 public interface Timers {
@@ -11,6 +12,13 @@
      */
     long nanoTime();
 
+    /**
+     * Returns the time of day, which counts while the VM is suspended, but may be set forward or back at any moment.
+     *
+     * @return the time of day, in whole milliseconds
+     */
+    Instant timeOfDay();
+
     /**
      * Runs an action after a delay, on the thread that the timers belong to.
      *
--- a/galenahinge/src/main/java/org/galenahinge/http/KeepAliveClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/KeepAliveClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.galenahinge.http.CompleteResponse.FailedException;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.WireAddress;
@@ -62,7 +63,21 @@
      * @return the response, or a {@link FailedException}
      */
     public CompletionStage<CompleteResponse> send(Exchange.Request request, Duration timeout) {
-        QueuedRequest queued = new QueuedRequest(request, timeout, new CompletableFuture<>());
+        return send(request, timeout, () -> true);
+    }
+
+    /**
+     * Sends a request after those queued before it, unless it has become invalid by then: while it waited for those and
+     * for the connection.
+     *
+     * @param request the request
+     * @param timeout the maximum time from sending the request until the response is complete
+     * @param stillValid asked immediately before the request is written
+     * @return the response, or a {@link FailedException}
+     */
+    public CompletionStage<CompleteResponse> send(
+            Exchange.Request request, Duration timeout, BooleanSupplier stillValid) {
+        QueuedRequest queued = new QueuedRequest(request, timeout, stillValid, new CompletableFuture<>());
         if (queue.size() >= MAXIMUM_QUEUED) {
             queued.result().completeExceptionally(new FailedException("too many requests are queued"));
             return queued.result();
@@ -73,7 +88,10 @@
     }
 
     private record QueuedRequest(
-            Exchange.Request request, Duration timeout, CompletableFuture<CompleteResponse> result) {}
+            Exchange.Request request,
+            Duration timeout,
+            BooleanSupplier stillValid,
+            CompletableFuture<CompleteResponse> result) {}
 
     private void sendNext() {
         if (busy || queue.isEmpty()) {
@@ -102,6 +120,10 @@
     }
 
     private void sendOn(HttpConnection open, QueuedRequest queued) {
+        if (!queued.stillValid().getAsBoolean()) {
+            fail(queued, "the request became invalid before it was sent");
+            return;
+        }
         Exchange.Request request = queued.request();
         DefaultHttpRequest head =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.path());
--- a/galenahinge/src/main/java/org/galenahinge/supply/ChunkStaging.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ChunkStaging.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import java.util.function.IntConsumer;
 import java.util.function.Predicate;
+import org.galenahinge.concurrent.Moment;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
@@ -27,7 +28,7 @@
     private final Predicate<ChunkStaging> currentCheck;
     private final Consumer<ChunkStaging> onComplete;
     private final IntConsumer onMismatch;
-    private final long startedNanos;
+    private final Moment started;
     private final Deque<Integer> remaining = new ArrayDeque<>();
     private int inProgress;
     private int fetched;
@@ -62,7 +63,7 @@
         this.currentCheck = currentCheck;
         this.onComplete = onComplete;
         this.onMismatch = onMismatch;
-        this.startedNanos = resources.timers().nanoTime();
+        this.started = Moment.now(resources.timers());
         for (int number = 0; number < digests.size(); number++) {
             remaining.add(number);
         }
@@ -81,9 +82,9 @@
         return fetched;
     }
 
-    /** Returns the time since this staging was created. */
-    Duration duration() {
-        return Duration.ofNanos(resources.timers().nanoTime() - startedNanos);
+    /** Tells whether this staging was created at most so long ago, by both clocks. */
+    boolean isStartedWithin(Duration limit) {
+        return Moment.now(resources.timers()).isWithin(limit, started);
     }
 
     private boolean isCurrent() {
--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineControl.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineControl.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.galenahinge.upstream.WeightsVersion;
 
 /**
@@ -41,9 +42,10 @@
      * @param weights the model and its version
      * @param expectedCommands the number of load commands that the engine must have accepted before; with another
      *     number it rejects the command
+     * @param stillValid asked immediately before the command is written; if false, it is not sent, and the stage fails
      * @return the engine's response
      */
-    CompletionStage<LoadResult> load(WeightsVersion weights, long expectedCommands);
+    CompletionStage<LoadResult> load(WeightsVersion weights, long expectedCommands, BooleanSupplier stillValid);
 
     /** The engine's response to a load command. */
     enum LoadResult {
--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.galenahinge.concurrent.Timers;
@@ -19,13 +20,19 @@
  * Brings one engine to its target version of weights: stages the chunks, reads every one back, and sends the load
  * command only if all match their digests. Belongs to one thread.
  *
- * <p>Staged chunks may become corrupt at any time, so they are read back again if the load command has to wait.
+ * <p>Staged chunks may become corrupt at any time, so they are read back again if the load command has to wait, or if
+ * the process or its VM was suspended before the command was written.
  */
 public final class EngineWeightsController {
     private static final Duration VERIFICATION_VALID_FOR = Duration.ofMillis(1_200);
     private static final Duration LOAD_EFFECT_TIMEOUT = Duration.ofSeconds(2);
     /** The time between announcing the load and sending the command, in which entries stop sending new requests. */
     private static final Duration QUIESCE_DELAY = Duration.ofMillis(100);
+    /** The time for the command to be written once it is due, and for timers that run late. */
+    private static final Duration COMMAND_RESERVE = Duration.ofMillis(500);
+
+    private static final Duration COMMAND_VALID_FOR =
+            VERIFICATION_VALID_FOR.plus(QUIESCE_DELAY).plus(COMMAND_RESERVE);
 
     private final EngineControl engine;
     private final ChunkStaging.Resources stagingResources;
@@ -314,7 +321,7 @@
      * only verified before their upload, or may have become corrupt meanwhile, so a new staging reads them back first.
      */
     private void onStagingComplete(ChunkStaging finished) {
-        if (finished.fetched() > 0 || finished.duration().compareTo(VERIFICATION_VALID_FOR) > 0) {
+        if (finished.fetched() > 0 || !finished.isStartedWithin(VERIFICATION_VALID_FOR)) {
             log.event(Category.BELIEF, "weights_staged")
                     .with("version", finished.digests().weights().version())
                     .with("fetched", finished.fetched())
@@ -386,11 +393,16 @@
             staging = Optional.empty();
             return;
         }
+        if (!finished.isStartedWithin(COMMAND_VALID_FOR)) {
+            verifyAgain(finished);
+            return;
+        }
         WeightsVersion weights = finished.digests().weights();
         long expected = report.get().acceptedCommands();
         commanded = Optional.of(weights);
         commandedNanos = timers.nanoTime();
-        engine.load(weights, expected).whenComplete((result, error) -> {
+        BooleanSupplier stillValid = () -> finished.isStartedWithin(COMMAND_VALID_FOR);
+        engine.load(weights, expected, stillValid).whenComplete((result, error) -> {
             staging = Optional.empty();
             boolean accepted = error == null && (result == LoadResult.BEGUN || result == LoadResult.IN_EFFECT);
             // A command without a response may have been accepted as well; the next report shows it.
@@ -404,6 +416,16 @@
         });
     }
 
+    /** The staged chunks may have become corrupt since they were read back: the process was suspended. */
+    private void verifyAgain(ChunkStaging outdated) {
+        log.event(Category.BELIEF, "weights_verification_outdated")
+                .with("version", outdated.digests().weights().version())
+                .with("after_ms", millisSinceNamed())
+                .write();
+        loading = false;
+        startStaging();
+    }
+
     /** Returns the time since the target was named, or since it was set if nobody has told its age. */
     private long millisSinceNamed() {
         return target.flatMap(digests -> rollout.age(digests.weights()))
--- a/galenahinge/src/main/java/org/galenahinge/wire/EventLoopTimers.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/EventLoopTimers.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Objects;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,11 @@
         return System.nanoTime();
     }
 
+    @Override
+    public Instant timeOfDay() {
+        return Instant.ofEpochMilli(System.currentTimeMillis());
+    }
+
     @Override
     public Timer schedule(Duration delay, Runnable action) {
         Future<?> timer = loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
--- a/galenahinge/src/test/java/org/galenahinge/concurrent/ManualTimers.java
+++ b/galenahinge/src/test/java/org/galenahinge/concurrent/ManualTimers.java
@@ -1,6 +1,7 @@
 package org.galenahinge.concurrent;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
@@ -10,6 +11,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Scheduled::dueNanos).thenComparingLong(Scheduled::number));
     private long nowNanos = 1_000_000_000L;
     private long nextNumber;
+    private Duration timeOfDayAhead = Duration.ZERO;
 
     private record Scheduled(long dueNanos, long number, Runnable action) {}
 
@@ -18,6 +20,11 @@
         return nowNanos;
     }
 
+    @Override
+    public Instant timeOfDay() {
+        return Instant.EPOCH.plusNanos(nowNanos).plus(timeOfDayAhead);
+    }
+
     @Override
     public Timer schedule(Duration delay, Runnable action) {
         Scheduled timer = new Scheduled(nowNanos + Math.max(0, delay.toNanos()), nextNumber++, action);
@@ -30,6 +37,14 @@
         nowNanos += time.toNanos();
     }
 
+    /**
+     * Advances only the time of day, like a suspended VM whose monotonic clock does not count meanwhile, or sets it
+     * back.
+     */
+    public void stepTimeOfDay(Duration step) {
+        timeOfDayAhead = timeOfDayAhead.plus(step);
+    }
+
     /** Advances the time and runs the actions that fall due, in order of their due times. */
     public void advance(Duration by) {
         long endNanos = nowNanos + by.toNanos();
--- a/galenahinge/src/test/java/org/galenahinge/node/EngineFleetModel.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/EngineFleetModel.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.concurrent.ManualTimers;
@@ -383,7 +384,8 @@
         }
 
         @Override
-        public CompletionStage<LoadResult> load(WeightsVersion weights, long expectedCommands) {
+        public CompletionStage<LoadResult> load(
+                WeightsVersion weights, long expectedCommands, BooleanSupplier stillValid) {
             return CompletableFuture.completedFuture(LoadResult.REFUSED);
         }
     }
--- a/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LoadAnnouncerTest.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.placement.LoadReport;
@@ -188,7 +189,8 @@
         }
 
         @Override
-        public CompletionStage<LoadResult> load(WeightsVersion weights, long expectedOrders) {
+        public CompletionStage<LoadResult> load(
+                WeightsVersion weights, long expectedOrders, BooleanSupplier stillValid) {
             onLoadCommand.run();
             loadCommands++;
             return CompletableFuture.completedFuture(LoadResult.BEGUN);
--- a/galenahinge/src/test/java/org/galenahinge/node/SlotNodeTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/SlotNodeTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.galenahinge.facts.FactDecoder;
 import org.galenahinge.facts.FactSource;
 import org.galenahinge.gateway.RequestTranslator;
@@ -88,7 +89,8 @@
         }
 
         @Override
-        public CompletionStage<LoadResult> load(WeightsVersion weights, long expectedCommands) {
+        public CompletionStage<LoadResult> load(
+                WeightsVersion weights, long expectedCommands, BooleanSupplier stillValid) {
             return CompletableFuture.failedFuture(new IllegalStateException("not expected"));
         }
 
--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -13,6 +13,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.supply.EngineControl.EngineReport;
@@ -72,6 +74,62 @@
         assertThat(engine.stagedAtCommand.get(2)).isEqualTo(TestWeights.chunk(2, 2));
     }
 
+    /**
+     * Guards against loading a chunk that became corrupt while the process was suspended between verification and load
+     * command. The first column counts by both clocks, the second one only by the time of day.
+     */
+    @ParameterizedTest
+    @CsvSource({"3900, 0", "0, 3900", "3900, -3900", "0, -3900"})
+    void doesNotLoadAChunkThatBecameCorruptWhileTheProcessWasSuspended(long bothMillis, long timeOfDayMillis) {
+        awaitAnnouncedLoad();
+        suspend(bothMillis, timeOfDayMillis);
+        engine.staged.put(2, "corrupt".getBytes(StandardCharsets.UTF_8));
+        report(Duration.ofSeconds(1));
+        assertThat(engine.loaded).containsExactly(1L);
+        assertThat(engine.stagedAtCommand.get(2)).isEqualTo(TestWeights.chunk(1, 2));
+    }
+
+    /** Guards against the same while the command waits for a connection to the engine. */
+    @ParameterizedTest
+    @CsvSource({"3900, 0", "0, 3900"})
+    void doesNotLoadAChunkThatBecameCorruptWhileTheCommandWaited(long bothMillis, long timeOfDayMillis) {
+        engine.beforeNextCommand = () -> {
+            suspend(bothMillis, timeOfDayMillis);
+            engine.staged.put(2, "corrupt".getBytes(StandardCharsets.UTF_8));
+        };
+        awaitAnnouncedLoad();
+        report(Duration.ofSeconds(1));
+        assertThat(engine.loaded).containsExactly(1L);
+        assertThat(engine.stagedAtCommand.get(2)).isEqualTo(TestWeights.chunk(1, 2));
+    }
+
+    /** A time of day that is set costs an engine at most one more verification. */
+    @ParameterizedTest
+    @ValueSource(longs = {-86_400_000, -3_900, 3_900, 86_400_000})
+    void loadsSoonAfterTheTimeOfDayWasSet(long stepMillis) {
+        awaitAnnouncedLoad();
+        timers.stepTimeOfDay(Duration.ofMillis(stepMillis));
+        report(Duration.ofMillis(300));
+        assertThat(engine.loaded).containsExactly(1L);
+    }
+
+    private void awaitAnnouncedLoad() {
+        AtomicBoolean announced = new AtomicBoolean();
+        controller.onBeforeLoad(ignored -> announced.set(true));
+        controller.setTarget(digests(1), LoadSchedule.UNKNOWN);
+        for (int step = 0; step < 100 && !announced.get(); step++) {
+            controller.onReport(engine.state());
+            timers.advance(Duration.ofMillis(1));
+        }
+        assertThat(announced).isTrue();
+        assertThat(engine.loaded).isEmpty();
+    }
+
+    private void suspend(long bothMillis, long timeOfDayMillis) {
+        timers.standStill(Duration.ofMillis(bothMillis));
+        timers.stepTimeOfDay(Duration.ofMillis(timeOfDayMillis));
+    }
+
     @Test
     void doesNotStageCorruptChunks() {
         source.corruptChunks = 3;
@@ -258,6 +316,7 @@
         private long incarnation = 7;
         private boolean finishLoadsManually;
         private boolean dropNextCommand;
+        private Runnable beforeNextCommand = () -> {};
         private Duration stagingDelay = Duration.ZERO;
 
         EngineReport state() {
@@ -285,7 +344,14 @@
         }
 
         @Override
-        public CompletionStage<LoadResult> load(WeightsVersion weights, long expectedCommands) {
+        public CompletionStage<LoadResult> load(
+                WeightsVersion weights, long expectedCommands, BooleanSupplier stillValid) {
+            Runnable before = beforeNextCommand;
+            beforeNextCommand = () -> {};
+            before.run();
+            if (!stillValid.getAsBoolean()) {
+                return CompletableFuture.failedFuture(new SupplyException("not sent"));
+            }
             if (expectedCommands != acceptedCommands) {
                 return CompletableFuture.completedFuture(LoadResult.CONFLICT);
             }
