A body that ends with its connection is complete only once the network has it

What a caller saw: an HTTP/1.0 caller that reads slowly got 3,612,564 of 3,686,400 bytes and an orderly end, which looks complete. Cause: the connection was taken for one that may be closed in order as soon as the last byte was written to its buffer.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -93,9 +93,12 @@
         active.filter(request -> !request.response().hasBegun()).ifPresent(ForwardedRequest::processExits);
     }
 
-    /** Ends a response that has begun visibly incomplete. */
+    /** Ends responses of which a part is not with the network visibly incomplete. */
     void breakOffResponse() {
         active.ifPresent(ForwardedRequest::processExits);
+        if (delivery.isWriting()) {
+            close();
+        }
     }
 
     @Override
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
@@ -60,11 +60,7 @@
         }
         finished = true;
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                content,
-                headers,
-                new DefaultHttpHeaders());
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content, headers, new DefaultHttpHeaders());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         setConnectionHeader(response);
         ChannelFuture written = context.writeAndFlush(response);
@@ -103,8 +99,8 @@
             return;
         }
         finished = true;
-        delivery.setBodyEndsWithConnection(false);
         ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        written.addListener(done -> delivery.setBodyEndsWithConnection(!chunked && !done.isSuccess()));
         listener.responseEnded(written, !last && chunked);
     }
 
