A stop reads from connections that it has just accepted before it closes idle ones

What a caller saw: the connection ended without a response, though its request had been sent before, if the network thread was late and accepted it in the turn in which idle connections are closed.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -43,6 +43,7 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long arrivedNanos;
     private boolean reading;
+    private boolean justAccepted = true;
     private boolean processing;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
@@ -55,16 +56,26 @@
 
     /** Called for received bytes before they are decoded, so that the time for a head counts from its first byte. */
     void bytesReceived() {
+        justAccepted = false;
         if (reading || active.isPresent() || closing) {
             return;
         }
         reading = true;
         arrivedNanos = gateway.timers().nanoTime();
-        setTimer(limits.get().headerTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
+        setTimer(
+                limits.get().headerTimeout(),
+                () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
-    /** Closes the connection if it waits for a request; while the process stops, a response in progress is its last. */
+    /**
+     * Closes the connection if it waits for a request; while the process stops, a response in progress is its last. What
+     * a caller sent before its connection was accepted is read first.
+     */
     void closeIfIdle() {
+        if (justAccepted) {
+            justAccepted = false;
+            return;
+        }
         if (phase() == ConnectionPhase.WAITING) {
             closeGracefully();
         }
@@ -81,7 +92,7 @@
         if (closing) {
             return ConnectionPhase.LINGERING;
         }
-        return reading || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
+        return reading || justAccepted || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
     }
 
     /** Ends the request in progress with a response, because the process exits, unless a response has begun. */
@@ -204,7 +215,9 @@
         }
         request = head;
         body = new ByteArrayOutputStream();
-        setTimer(limits.get().idleTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request body took too long")));
+        setTimer(
+                limits.get().idleTimeout(),
+                () -> reject(Rejection.of(408, "request_timeout", "the request body took too long")));
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -278,8 +291,7 @@
                 .write();
         gateway.metrics().ended(rejection.reason());
         responseWriter(false, HttpVersion.HTTP_1_1)
-                .writeComplete(
-                        rejection.status(), rejection.headers(gateway.translator()), rejection.body());
+                .writeComplete(rejection.status(), rejection.headers(gateway.translator()), rejection.body());
     }
 
     private ResponseWriter responseWriter(boolean keepAlive, HttpVersion version) {
