A stop sends no waiting request that its end may cut off

A request that waited for a slot, or for the time that its upstream had named, was sent to an upstream until the end of the stop, and got 502 when it was cut off there: its outcome was unknown. The rule for requests that arrive late now holds for each time that a request is placed: one that has not run is rejected as not run if its deadline is after the end.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -60,7 +60,9 @@
         }
         reading = true;
         arrivedNanos = gateway.timers().nanoTime();
-        setTimer(limits.get().headerTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
+        setTimer(
+                limits.get().headerTimeout(),
+                () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
     /** Closes the connection if it waits for a request; while the process stops, a response in progress is its last. */
@@ -201,7 +203,9 @@
         }
         request = head;
         body = new ByteArrayOutputStream();
-        setTimer(limits.get().idleTimeout(), () -> reject(Rejection.of(408, "request_timeout", "the request body took too long")));
+        setTimer(
+                limits.get().idleTimeout(),
+                () -> reject(Rejection.of(408, "request_timeout", "the request body took too long")));
         if (HttpUtil.is100ContinueExpected(head)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -275,8 +279,7 @@
                 .write();
         gateway.metrics().ended(rejection.reason());
         responseWriter(false, HttpVersion.HTTP_1_1)
-                .writeComplete(
-                        rejection.status(), rejection.headers(gateway.translator()), rejection.body());
+                .writeComplete(rejection.status(), rejection.headers(gateway.translator()), rejection.body());
     }
 
     private ResponseWriter responseWriter(boolean keepAlive, HttpVersion version) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
@@ -60,11 +60,7 @@
         }
         finished = true;
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                content,
-                headers,
-                new DefaultHttpHeaders());
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content, headers, new DefaultHttpHeaders());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         setConnectionHeader(response);
         ChannelFuture written = context.writeAndFlush(response);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -84,10 +84,6 @@
         queue = gateway.serviceQueue(admitted.service());
         queue.retryBudget().recordRequest(gateway.timers().nanoTime());
         deadlines = RequestDeadlines.of(request, admitted.route());
-        if (!gateway.mayBegin(deadlines.endNanos())) {
-            reject(notRunForStop());
-            return;
-        }
         timeoutTimer = Optional.of(gateway.timers().schedule(remainingTime(), this::deadlineReached));
         place();
     }
@@ -130,6 +126,11 @@
         if (ended) {
             return true;
         }
+        if (isTooLateToBegin()) {
+            waiting = false;
+            reject(notRunForStop());
+            return true;
+        }
         if (isQuarantined()) {
             waiting = false;
             rejectQuarantined();
@@ -266,11 +267,20 @@
         return deadlines.isLate(gateway.timers().nanoTime());
     }
 
+    /** Whether the end of the process might cut off the request, which has certainly not run so far. */
+    private boolean isTooLateToBegin() {
+        return !mayHaveRun && !gateway.mayBegin(deadlines.endNanos());
+    }
+
     private void place() {
         if (remainingTime().isZero()) {
             deadlineReached();
             return;
         }
+        if (isTooLateToBegin()) {
+            reject(notRunForStop());
+            return;
+        }
         if (isQuarantined()) {
             rejectQuarantined();
             return;
