A stop gives callers a moment for their next request before it closes an idle connection

Late in a stop, a caller that sent its next request right after a response found its connection closed: every 50 ms, connections without a request were closed, also those whose response had just ended and had not said that it is the last one (its head was written before the stop). Connections are closed only 200 ms after their last response or their begin, so that such requests are answered, with 503 where they would not end in time. An idle entry stops at most 200 ms later for connections that were used in the last 200 ms, and otherwise as before.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerActivity.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerActivity.java
@@ -32,11 +32,11 @@
     }
 
     /**
-     * Returns whether the process could exit without an effect on a request or a response.
+     * Returns whether the process could exit without an effect on its callers.
      *
-     * @return whether all connections wait for a request, if there are any
+     * @return whether there are no connections
      */
     public boolean isOver() {
-        return busy() == 0 && lingering == 0;
+        return waiting + busy() + lingering == 0;
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -30,6 +30,10 @@
     private static final int MAXIMUM_QUEUED_MESSAGES = 256;
     private static final int MAXIMUM_REQUESTS_PER_TURN = 16;
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
+
+    /** Time in which a caller that has just connected, or got a response, sends its next request. */
+    private static final Duration NEXT_REQUEST_TIME = Duration.ofMillis(200);
+
     private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofSeconds(1);
 
     private final Gateway gateway;
@@ -42,6 +46,7 @@
     private HttpRequest request;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long arrivedNanos;
+    private long waitingSinceNanos;
     private boolean reading;
     private boolean processing;
     private Optional<ForwardedRequest> active = Optional.empty();
@@ -65,9 +70,10 @@
                 () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
-    /** Closes the connection if it waits for a request; while the process stops, a response in progress is its last. */
+    /** Closes the connection if it waits for a request that does not come. */
     void closeIfIdle() {
-        if (phase() == ConnectionPhase.WAITING) {
+        long waitedNanos = gateway.timers().nanoTime() - waitingSinceNanos;
+        if (phase() == ConnectionPhase.WAITING && waitedNanos >= NEXT_REQUEST_TIME.toNanos()) {
             closeGracefully();
         }
     }
@@ -104,6 +110,7 @@
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
         delivery = new CallerDelivery(newContext);
+        waitingSinceNanos = gateway.timers().nanoTime();
         server.opened(this);
         startIdleTimer();
     }
@@ -298,6 +305,7 @@
         reading = false;
         request = null;
         delivery.responseEnded(written);
+        written.addListener(done -> waitingSinceNanos = gateway.timers().nanoTime());
         if (!keepOpen) {
             closeAfter(written);
             return;
