--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -30,6 +30,10 @@
     private static final int MAXIMUM_QUEUED_MESSAGES = 256;
     private static final int MAXIMUM_REQUESTS_PER_TURN = 16;
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
+
+    /** Time in which a caller that has just connected, or got a response, sends its next request. */
+    private static final Duration NEXT_REQUEST_TIME = Duration.ofMillis(200);
+
     private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofSeconds(1);
 
     private final Gateway gateway;
@@ -42,8 +46,8 @@
     private HttpRequest request;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long arrivedNanos;
+    private long waitingSinceNanos;
     private boolean reading;
-    private boolean justAccepted = true;
     private boolean processing;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
@@ -67,16 +71,10 @@
                 () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
-    /**
-     * Closes the connection if it waits for a request; while the process stops, a response in progress is its last. What
-     * a caller sent before its connection was accepted is read first.
-     */
+    /** Closes the connection if it waits for a request that does not come. */
     void closeIfIdle() {
-        if (justAccepted) {
-            justAccepted = false;
-            return;
-        }
-        if (phase() == ConnectionPhase.WAITING) {
+        long waitedNanos = gateway.timers().nanoTime() - waitingSinceNanos;
+        if (phase() == ConnectionPhase.WAITING && waitedNanos >= NEXT_REQUEST_TIME.toNanos()) {
             closeGracefully();
         }
     }
@@ -116,6 +114,7 @@
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
         delivery = new CallerDelivery(newContext);
+        waitingSinceNanos = gateway.timers().nanoTime();
         server.opened(this);
         startIdleTimer();
     }
@@ -310,6 +309,7 @@
         reading = false;
         request = null;
         delivery.responseEnded(written);
+        written.addListener(done -> waitingSinceNanos = gateway.timers().nanoTime());
         if (!keepOpen) {
             closeAfter(written);
             return;
