An error at one connection, or in one step of a stop, leaves the rest of the stop as it is

What callers would see: after one error while a stopping entry ended a request, no other caller got a response, and the process stayed until it was killed. Cause: the steps of a stop were one chain of timers, and the loops over connections had no bound for errors. Each check schedules the next one first, the exit has a timer of its own, and an error at a connection closes that one. Requests that are half read at the end of the stop are ended at each check until the exit, not once. A stop signal takes effect also if its log line cannot be written, and at most 64 signals are remembered during a start, a stop signal always.

--- a/galenahinge/src/main/java/org/galenahinge/daemon/SignalInbox.java
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/SignalInbox.java
@@ -17,6 +17,8 @@
  * time. Signals that come before the process is up are remembered, and handled in their order once it is.
  */
 public final class SignalInbox {
+    private static final int MAXIMUM_REMEMBERED = 64;
+
     private final Map<ProcessSignal, Integer> counts = new EnumMap<>(ProcessSignal.class);
     private final List<Received> remembered = new ArrayList<>();
     private Optional<Reactions> reactions = Optional.empty();
@@ -99,7 +101,7 @@
         synchronized (this) {
             received = new Received(signal, counts.merge(signal, 1, Integer::sum), nowNanos);
             if (reactions.isEmpty()) {
-                remembered.add(received);
+                remember(received);
                 return;
             }
         }
@@ -140,14 +142,30 @@
         Reactions current = reactions();
         Action action = decide(received.signal());
         Duration waited = Duration.ofNanos(nowNanos - received.nanos());
-        current.log().accept(new Handled(received.signal(), received.count(), action, waited));
+        try {
+            current.log().accept(new Handled(received.signal(), received.count(), action, waited));
+        } finally {
+            react(current, action, received.nanos());
+        }
+    }
+
+    private static void react(Reactions current, Action action, long signalNanos) {
         switch (action) {
             case RELOAD -> current.reload().run();
-            case STOP_BEGINS -> current.stop().accept(received.nanos());
+            case STOP_BEGINS -> current.stop().accept(signalNanos);
             case ALREADY_STOPPING -> {}
         }
     }
 
+    /** The first stop signal is remembered however many signals came before it. */
+    private void remember(Received received) {
+        boolean isFirstStop = received.signal().stops()
+                && remembered.stream().noneMatch(earlier -> earlier.signal().stops());
+        if (isFirstStop || remembered.size() < MAXIMUM_REMEMBERED) {
+            remembered.add(received);
+        }
+    }
+
     private synchronized Reactions reactions() {
         return reactions.orElseThrow();
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -60,7 +60,6 @@
 
     /** Called for received bytes before they are decoded, so that the time for a head counts from its first byte. */
     void bytesReceived() {
-        justAccepted = false;
         if (reading || active.isPresent() || closing) {
             return;
         }
@@ -90,7 +89,7 @@
         if (closing) {
             return ConnectionPhase.LINGERING;
         }
-        return reading || justAccepted || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
+        return reading || !queued.isEmpty() ? ConnectionPhase.READING : ConnectionPhase.WAITING;
     }
 
     /** Ends the request in progress with a response, because the process exits, unless a response has begun. */
@@ -172,12 +171,19 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext newContext, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            gateway.log()
-                    .event(Category.FAILURE, "caller_connection_error")
-                    .with("detail", cause.toString())
-                    .write();
+        if (cause instanceof IOException) {
+            delivery.close();
+            return;
         }
+        closeAfterError(cause);
+    }
+
+    /** Logs an error of this process, which ends this connection only. */
+    void closeAfterError(Throwable cause) {
+        gateway.log()
+                .event(Category.FAILURE, "caller_connection_error")
+                .with("detail", cause.toString())
+                .write();
         delivery.close();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
@@ -100,7 +100,9 @@
         }
         finished = true;
         ChannelFuture written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        written.addListener(done -> delivery.setBodyEndsWithConnection(!chunked && !done.isSuccess()));
+        if (!chunked) {
+            written.addListener(done -> delivery.setBodyEndsWithConnection(!done.isSuccess()));
+        }
         listener.responseEnded(written, !last && chunked);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
 import org.galenahinge.wire.NetworkThreads;
@@ -70,17 +71,17 @@
     /** Stops accepting connections and closes idle ones; requests in progress go on. */
     public void closeIdle() {
         serverChannel.close();
-        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+        forEachConnection(CallerConnection::closeIfIdle);
     }
 
     /** Ends the requests in progress with a response, because the process exits; responses that have begun go on. */
     public void endRequests() {
-        List.copyOf(connections).forEach(CallerConnection::endRequest);
+        forEachConnection(CallerConnection::endRequest);
     }
 
     /** Ends the responses that have begun visibly incomplete, because the process exits now. */
     public void breakOffResponses() {
-        List.copyOf(connections).forEach(CallerConnection::breakOffResponse);
+        forEachConnection(CallerConnection::breakOffResponse);
     }
 
     /**
@@ -102,6 +103,17 @@
         return connections.size();
     }
 
+    /** An error at one connection ends that one only. */
+    private void forEachConnection(Consumer<CallerConnection> action) {
+        for (CallerConnection connection : List.copyOf(connections)) {
+            try {
+                action.accept(connection);
+            } catch (RuntimeException e) {
+                connection.closeAfterError(e);
+            }
+        }
+    }
+
     void opened(CallerConnection connection) {
         connections.add(connection);
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -68,6 +68,7 @@
     private DatagramNetwork gossipDatagrams;
     private CallerServer callerServer;
     private boolean stopping;
+    private boolean requestsEnded;
     private volatile boolean ready;
 
     private EntryNode(
@@ -282,36 +283,53 @@
         ready = false;
         StopSchedule schedule =
                 StopSchedule.beginningAt(signalNanos, settings.bounds().stopTimeout());
+        gateway.announceStop(schedule);
+        timers.schedule(timeUntil(schedule.lastArrivalNanos()), () -> checkStop(schedule, stopped));
+        timers.schedule(timeUntil(schedule.exitNanos()), () -> exit(stopped));
         logStop("stopping");
         membership.leave();
-        gateway.announceStop(schedule);
-        Duration arrivals = Duration.ofNanos(schedule.lastArrivalNanos() - timers.nanoTime());
-        timers.schedule(arrivals, () -> stopWhenIdle(schedule, stopped));
     }
 
-    private void stopWhenIdle(StopSchedule schedule, CompletableFuture<Void> stopped) {
-        callerServer.closeIdle();
-        boolean timeIsOver = timers.nanoTime() - schedule.endNanos() >= 0;
-        if (!timeIsOver && !callerServer.activity().isOver()) {
-            timers.schedule(STOP_CHECK_INTERVAL, () -> stopWhenIdle(schedule, stopped));
+    private Duration timeUntil(long nanos) {
+        return Duration.ofNanos(nanos - timers.nanoTime());
+    }
+
+    /** Waits for requests until the end of the stop, and then for callers that read slowly as long as the process may. */
+    private void checkStop(StopSchedule schedule, CompletableFuture<Void> stopped) {
+        if (stopped.isDone()) {
             return;
         }
-        logStop("stopped");
+        // Scheduled first, so that an error in one check does not prevent the next.
+        timers.schedule(STOP_CHECK_INTERVAL, () -> checkStop(schedule, stopped));
+        callerServer.closeIdle();
+        boolean isOver = callerServer.activity().isOver();
+        if (isOver || timers.nanoTime() - schedule.endNanos() >= 0) {
+            endRequests();
+        }
+        if (isOver) {
+            exit(stopped);
+        }
+    }
+
+    /** Ends the requests that are left, also those that callers complete only now. */
+    private void endRequests() {
+        if (!requestsEnded) {
+            requestsEnded = true;
+            logStop("stopped");
+        }
         callerServer.endRequests();
-        exitWhenDelivered(schedule, stopped);
     }
 
-    /** Waits for callers that read slowly as long as the process may. */
-    private void exitWhenDelivered(StopSchedule schedule, CompletableFuture<Void> stopped) {
-        callerServer.closeIdle();
-        boolean timeIsOver = timers.nanoTime() - schedule.exitNanos() >= 0;
-        if (!timeIsOver && !callerServer.activity().isOver()) {
-            timers.schedule(STOP_CHECK_INTERVAL, () -> exitWhenDelivered(schedule, stopped));
+    private void exit(CompletableFuture<Void> stopped) {
+        if (stopped.isDone()) {
             return;
         }
-        logStop("exiting");
-        callerServer.breakOffResponses();
-        stopped.complete(null);
+        try {
+            logStop("exiting");
+            callerServer.breakOffResponses();
+        } finally {
+            stopped.complete(null);
+        }
     }
 
     private void logStop(String event) {
--- a/galenahinge/src/test/java/org/galenahinge/daemon/SignalInboxTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/daemon/SignalInboxTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.Stream;
 import org.galenahinge.daemon.SignalInbox.Reactions;
@@ -64,6 +65,29 @@
         assertThatThrownBy(() -> inbox.open(reactions(), 0)).isInstanceOf(IllegalStateException.class);
     }
 
+    /** Guards against a stop that never begins because its signal could not be logged. */
+    @Test
+    void stopsAlsoIfItsSignalCannotBeLogged() {
+        Reactions failing = new Reactions(
+                handled -> {
+                    throw new IllegalStateException("the log is full");
+                },
+                () -> done.add("reload"),
+                nanos -> done.add("stop"));
+        inbox.open(failing, 0);
+        assertThatThrownBy(() -> inbox.receive(ProcessSignal.TERM, 1)).isInstanceOf(IllegalStateException.class);
+        assertThat(done).containsExactly("stop");
+    }
+
+    /** Guards against a stop signal that is forgotten because many others came during the start. */
+    @Test
+    void remembersAStopAfterManyOtherSignals() {
+        receive(Collections.nCopies(1_000, ProcessSignal.HUP), 1);
+        receive(List.of(ProcessSignal.TERM), 1_001);
+        inbox.open(reactions(), 0);
+        assertThat(done).contains("stop at 1001").hasSizeLessThan(200);
+    }
+
     private void receive(List<ProcessSignal> signals, long firstMillis) {
         long millis = firstMillis;
         for (ProcessSignal signal : signals) {
