An entry closes its callers' connections only once their responses have left

What callers saw: the stop of 'galenahinged entry' reset the connections of callers that read slowly, and of callers that were still sending their request. Cause: 50 ms after the last response was complete the actor system ended, which resets every open connection with all that its caller has not received; requests whose body was still arriving, and requests for keys, did not count as active. Why it works: HttpListener serves the connections itself and knows when each is closed. At the end of a stop it accepts no more, finishes the requests read, and waits for the close of each connection, which follows the last byte of its responses.

--- a/bench/src/test/java/org/galenahinge/bench/InProcessFleet.java
+++ b/bench/src/test/java/org/galenahinge/bench/InProcessFleet.java
@@ -1,10 +1,7 @@
 package org.galenahinge.bench;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +29,6 @@
 
 /** Runs the real daemons with stand-ins in one process: one entry, one model VM and one order VM. */
 final class InProcessFleet implements AutoCloseable {
-    private static final String ADDRESS = "127.0.0.1";
     private static final EngineStandIn.Parameters ENGINE =
             new EngineStandIn.Parameters(8, 2_000, 50, 512, 4_096, 20, true);
     private static final WeightsStandIn.Parameters WEIGHTS = new WeightsStandIn.Parameters(6, 4_096, 50_000_000, 0);
@@ -54,16 +50,17 @@
                 "engine", system -> new FaultyEngine(system, new EngineStandIn(system, ENGINE), floodedBytes));
         serviceUrl = startStandIn("service", system -> new ServiceStandIn(system, 1));
         ObjectNode vms = HttpTool.JSON.createObjectNode();
-        List<String> entryFlags = addVm(vms.putArray("vms"), "entry-1", "entry");
-        List<String> modelFlags = addVm(vms.withArray("vms"), "model-1", "upstream");
-        List<String> orderFlags = addVm(vms.withArray("vms"), "order-1", "upstream");
+        List<String> entryFlags = LocalVms.add(vms.putArray("vms"), "entry-1", "entry");
+        List<String> modelFlags = LocalVms.add(vms.withArray("vms"), "model-1", "upstream");
+        List<String> orderFlags = LocalVms.add(vms.withArray("vms"), "order-1", "upstream");
         HttpTool.send("PUT", vmList + "/v1/vms", vms.toString());
         slots.add(startSlot(modelFlags, engineUrl, "model", weights));
         slots.add(startSlot(orderFlags, serviceUrl, "service", weights));
         entryFlags.addAll(List.of("--configuration-service", configurationUrl, "--vm-list", vmList));
         entryFlags.addAll(List.of("--request-timeout-seconds", "10"));
         EntrySettings settings = EntrySettings.read(entryFlags, Map.of());
-        entryUrl = "http://" + ADDRESS + ":" + settings.vmSettings().vm().httpPort();
+        entryUrl =
+                "http://" + LocalVms.ADDRESS + ":" + settings.vmSettings().vm().httpPort();
         entry = EntryDaemon.start(settings);
     }
 
@@ -97,9 +94,9 @@
     }
 
     private String startStandIn(String name, Function<ActorSystem<?>, HttpStandIn.Handler> handler) throws IOException {
-        HttpStandIn standIn = HttpStandIn.start(name, ADDRESS, freePort(), handler);
+        HttpStandIn standIn = HttpStandIn.start(name, LocalVms.ADDRESS, LocalVms.freePort(), handler);
         standIns.add(standIn);
-        return "http://" + ADDRESS + ":" + standIn.port();
+        return "http://" + LocalVms.ADDRESS + ":" + standIn.port();
     }
 
     private static SlotDaemon startSlot(List<String> vmFlags, String upstream, String kind, String weights)
@@ -111,40 +108,6 @@
         return SlotDaemon.start(SlotSettings.read(flags, Map.of()));
     }
 
-    /** Adds a VM to the platform's VM list and returns the flags that tell its daemon the same facts. */
-    private static List<String> addVm(ArrayNode vms, String name, String kind) throws IOException {
-        int wirePort = freePort();
-        int httpPort = freePort();
-        vms.addObject()
-                .put("name", name)
-                .put("kind", kind)
-                .put("address", ADDRESS)
-                .put("wirePort", wirePort)
-                .put("httpPort", httpPort)
-                .put("region", "north")
-                .put("failureDomain", "north-1")
-                .put("leaving", false);
-        return new ArrayList<>(List.of(
-                "--name",
-                name,
-                "--address",
-                ADDRESS,
-                "--wire-port",
-                Integer.toString(wirePort),
-                "--http-port",
-                Integer.toString(httpPort),
-                "--region",
-                "north",
-                "--failure-domain",
-                "north-1"));
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     /**
      * An engine whose response to a prompt with the word "break" fails after two parts, whose response to one with
      * "short" ends normally after two parts, and whose response to one with "flood" goes on with large events.
--- /dev/null
+++ b/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
@@ -0,0 +1,60 @@
+package org.galenahinge.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests what callers get whose requests are in progress when the system's own daemons stop. */
+class OwnStopTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    /** More than an entry takes to close when it waits for nothing. */
+    private static final long STOP_BEGINS_MILLIS = 300;
+
+    /** Guards against an entry that closes before slow callers have taken the end of their responses. */
+    @ParameterizedTest
+    @CsvSource({"0", "1"})
+    void deliversResponsesThatTheirCallersReadSlowly(int pipelined) throws Exception {
+        try (StoppedFleet fleet = new StoppedFleet(List.of(), List.of());
+                SlowCaller caller = SlowCaller.connect(fleet.entryUri())) {
+            caller.send("/v1/services/orders/large", "{}");
+            caller.awaitResponse();
+            for (int request = 0; request < pipelined; request++) {
+                caller.send("/v1/services/orders/small", "{}");
+            }
+            CompletableFuture<Void> stopped = fleet.entry().stop().toCompletableFuture();
+            TimeUnit.MILLISECONDS.sleep(STOP_BEGINS_MILLIS);
+
+            assertThat(caller.readResponse().bodyBytes()).isEqualTo(StoppedFleet.LARGE_RESPONSE_BYTES);
+            for (int request = 0; request < pipelined; request++) {
+                assertThat(caller.readResponse().header("Galenahinge-Verdict")).isEqualTo("not-run");
+            }
+            caller.close();
+            assertThat(stopped).succeedsWithin(TIMEOUT);
+        }
+    }
+
+    /** Guards against an entry that closes the connection of a caller that is still sending its request. */
+    @ParameterizedTest
+    @CsvSource({"/v1/services/orders/small", "/v1/services/orders/keys"})
+    void rejectsRequestsWhoseBodyArrivesDuringTheStop(String path) throws Exception {
+        try (StoppedFleet fleet = new StoppedFleet(List.of(), List.of());
+                SlowCaller caller = SlowCaller.connect(fleet.entryUri())) {
+            caller.sendHead(path, 2);
+            caller.sendBody("{");
+            TimeUnit.MILLISECONDS.sleep(STOP_BEGINS_MILLIS);
+            CompletableFuture<Void> stopped = fleet.entry().stop().toCompletableFuture();
+            TimeUnit.MILLISECONDS.sleep(STOP_BEGINS_MILLIS);
+            caller.sendBody("}");
+
+            assertThat(caller.readResponse().header("Galenahinge-Verdict")).isEqualTo("not-run");
+            caller.close();
+            assertThat(stopped).succeedsWithin(TIMEOUT);
+        }
+    }
+}
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.galenahinge.daemon.ActorRuntime;
@@ -64,7 +62,6 @@
     private static final int MAXIMUM_ENTRIES_LISTED = 16;
     private static final int MAXIMUM_WEIGHT = 100;
     private static final Duration PEER_SYNCHRONIZATION_TIMEOUT = Duration.ofSeconds(5);
-    private static final Duration CLOSE_DELAY = Duration.ofMillis(50);
 
     private final EntrySettings settings;
     private final Vm self;
@@ -87,7 +84,7 @@
     private final OperatorHttp operators;
     private final MetricsHttp metricsHttp;
     private volatile Optional<DatagramNetwork> datagrams = Optional.empty();
-    private volatile Optional<ServerBinding> binding = Optional.empty();
+    private volatile Optional<HttpListener> listener = Optional.empty();
     private volatile boolean leaving;
 
     private EntryDaemon(EntrySettings settings, MetricRegistry metrics) {
@@ -187,13 +184,12 @@
      */
     public CompletionStage<Void> stop() {
         leaving = true;
+        listener.ifPresent(HttpListener::announceEnd);
         membership.leave();
         CompletableFuture<Void> idle = new CompletableFuture<>();
         capacity.whenIdle(() -> idle.complete(null));
         logActiveRequests(idle);
-        return idle.thenRunAsync(this::unbind)
-                .thenRunAsync(
-                        this::close, CompletableFuture.delayedExecutor(CLOSE_DELAY.toMillis(), TimeUnit.MILLISECONDS));
+        return idle.thenComposeAsync(done -> closeCallers()).thenRunAsync(this::close);
     }
 
     private void logActiveRequests(CompletableFuture<Void> idle) {
@@ -215,9 +211,7 @@
         tickets.start();
         fleet.start();
         try {
-            binding = Optional.of(Http.get(system)
-                    .newServerAt(self.address(), self.httpPort())
-                    .bind(this::handle)
+            listener = Optional.of(HttpListener.bind(system, self.address(), self.httpPort(), this::handle)
                     .toCompletableFuture()
                     .join());
         } catch (RuntimeException e) {
@@ -341,8 +335,8 @@
                 .build();
     }
 
-    private void unbind() {
-        binding.ifPresent(bound -> bound.unbind().toCompletableFuture().join());
+    private CompletionStage<Void> closeCallers() {
+        return listener.map(HttpListener::close).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
     private void close() {
