A slot process that stops sends its last frames before it closes

What callers saw: responses that a stopping 'galenahinged slot' had taken completely from its upstream never reached an entry that read slowly; the entry reported a lost connection. Cause: the network threads were stopped as soon as the last request had ended, and dropped the frames that the sockets had not taken. Why it works: each connection is closed for output after its last frame has been written, and stays open until the peer has closed its side, within 5 seconds. A second call of stop() returns the stop in progress; before, it never completed.

--- a/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
+++ b/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
@@ -1,6 +1,7 @@
 package org.galenahinge.bench;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import java.time.Duration;
 import java.util.List;
@@ -57,4 +58,26 @@
             assertThat(stopped).succeedsWithin(TIMEOUT);
         }
     }
+
+    /** Guards against a slot process that closes before the last responses are sent to an entry that reads slowly. */
+    @ParameterizedTest
+    @CsvSource({"1", "6"})
+    void sendsTheLastResponsesOfAStoppedSlotProcess(int requests) throws Exception {
+        try (StoppedFleet fleet = new StoppedFleet(List.of(), List.of());
+                SlowEntry entry = SlowEntry.connect(fleet.slotAddress())) {
+            for (int request = 0; request < requests; request++) {
+                entry.send("/large/held");
+            }
+            await().atMost(TIMEOUT).until(() -> fleet.begunRequests() == requests);
+            CompletableFuture<Void> stopped = fleet.slot().stop().toCompletableFuture();
+            entry.stopReading();
+            fleet.release();
+            TimeUnit.SECONDS.sleep(1);
+            entry.readAll();
+
+            await().atMost(TIMEOUT).until(() -> entry.isClosed());
+            assertThat(entry.answeredRequests()).isEqualTo(requests);
+            assertThat(stopped).succeedsWithin(TIMEOUT);
+        }
+    }
 }
--- a/bench/src/test/java/org/galenahinge/bench/StoppedFleet.java
+++ b/bench/src/test/java/org/galenahinge/bench/StoppedFleet.java
@@ -111,12 +111,7 @@
     @Override
     public void close() {
         release();
-        entry.stop()
-                .toCompletableFuture()
-                .completeOnTimeout(null, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .join();
-        slot.stop()
-                .toCompletableFuture()
+        CompletableFuture.allOf(entry.stop().toCompletableFuture(), slot.stop().toCompletableFuture())
                 .completeOnTimeout(null, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .join();
         standIns.forEach(HttpStandIn::close);
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -86,6 +86,7 @@
     private volatile Optional<DatagramNetwork> datagrams = Optional.empty();
     private volatile Optional<HttpListener> listener = Optional.empty();
     private volatile boolean leaving;
+    private Optional<CompletionStage<Void>> stopped = Optional.empty();
 
     private EntryDaemon(EntrySettings settings, MetricRegistry metrics) {
         this.settings = settings;
@@ -180,9 +181,16 @@
      * Stops gracefully: announces it to other entries, rejects new requests, waits until every active request has
      * ended, and then closes.
      *
-     * @return completes when everything is closed
+     * @return completes when everything is closed; the same for each call
      */
-    public CompletionStage<Void> stop() {
+    public synchronized CompletionStage<Void> stop() {
+        if (stopped.isEmpty()) {
+            stopped = Optional.of(beginStop());
+        }
+        return stopped.get();
+    }
+
+    private CompletionStage<Void> beginStop() {
         leaving = true;
         listener.ifPresent(HttpListener::announceEnd);
         membership.leave();
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -54,8 +54,12 @@
     /** Delay from announcing the stop to the entries until new requests are rejected. */
     private static final Duration DRAIN_DELAY = Duration.ofMillis(500);
 
+    /** Time for the last frames to be sent to the entries and the other slot processes. */
+    private static final Duration SEND_TIMEOUT = Duration.ofSeconds(5);
+
     private final NetworkThreads threads;
     private final WireNetwork network;
+    private final ConnectionRegistry connections = ConnectionRegistry.create(MAXIMUM_CONNECTIONS);
     private final RequestController requests;
     private final TicketController tickets;
     private final WeightsController weights;
@@ -66,6 +70,7 @@
     private final SlotFrameHandler frames;
     private volatile ServingState serviceState = ServingState.CLOSED;
     private volatile boolean leaving;
+    private Optional<CompletionStage<Void>> stopped = Optional.empty();
 
     private SlotDaemon(SlotSettings settings, MetricRegistry metrics) {
         Vm self = settings.vmSettings().vm();
@@ -79,7 +84,6 @@
                 .setKind(Peers.SLOT)
                 .setRegion(self.region())
                 .build();
-        ConnectionRegistry connections = ConnectionRegistry.create(MAXIMUM_CONNECTIONS);
         PeerConnections peerConnections = PeerConnections.create(network, hello, new SlotFrameHandler.Outgoing());
         ChunkCache cache = ChunkCache.create(settings.weightsMemoryBytes());
         this.requests = RequestController.start(
@@ -157,14 +161,28 @@
     /**
      * Stops gracefully: notifies the entries, rejects new requests, lets every active request end, then closes.
      *
-     * @return completes when the process has closed everything
+     * @return completes when the process has closed everything; the same for each call
      */
-    public CompletionStage<Void> stop() {
+    public synchronized CompletionStage<Void> stop() {
+        if (stopped.isEmpty()) {
+            stopped = Optional.of(beginStop());
+        }
+        return stopped.get();
+    }
+
+    private CompletionStage<Void> beginStop() {
         leaving = true;
         CompletableFuture<Void> drained = new CompletableFuture<>();
         CompletableFuture.delayedExecutor(DRAIN_DELAY.toMillis(), TimeUnit.MILLISECONDS)
                 .execute(() -> requests.offer(new RequestEvent.Drain(() -> drained.complete(null))));
-        return drained.thenRunAsync(this::close);
+        return drained.thenComposeAsync(done -> sendLastFrames()).thenRunAsync(this::close);
+    }
+
+    private CompletionStage<Void> sendLastFrames() {
+        return connections
+                .closeWhenSent()
+                .toCompletableFuture()
+                .completeOnTimeout(null, SEND_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void listen(Vm self, MetricsHttp metricsHttp) throws IOException {
--- a/galenahinge/src/main/java/org/galenahinge/wire/ConnectionRegistry.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/ConnectionRegistry.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import org.galenahinge.wire.generated.Frame;
 import org.galenahinge.wire.generated.Hello;
@@ -93,4 +95,15 @@
             connection.send(frame);
         }
     }
+
+    /**
+     * Closes all connections, each once every frame has been handed to the network.
+     *
+     * @return completes when all are closed
+     */
+    public CompletionStage<Void> closeWhenSent() {
+        return CompletableFuture.allOf(connections.keySet().stream()
+                .map(connection -> connection.closeWhenSent().toCompletableFuture())
+                .toArray(CompletableFuture<?>[]::new));
+    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/wire/WireConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/wire/WireConnection.java
@@ -1,6 +1,8 @@
 package org.galenahinge.wire;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.socket.DuplexChannel;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -181,6 +183,27 @@
         channel.close();
     }
 
+    /**
+     * Closes the connection once every frame has been handed to the network and the peer has closed its side: a peer that
+     * is still sending would make an earlier close a reset, and lose frames that it has not received yet.
+     *
+     * @return completes when the connection is closed
+     */
+    public CompletionStage<Void> closeWhenSent() {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        channel.closeFuture().addListener(done -> closed.complete(null));
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> endOutput());
+        return closed;
+    }
+
+    private void endOutput() {
+        if (channel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+            return;
+        }
+        channel.close();
+    }
+
     /**
      * Returns the object set by {@link #attach}.
      *
