--- a/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
@@ -359,31 +359,4 @@
      * @param capacity the maximum that run at once
      */
     record Load(int running, int waiting, int capacity) {}
-
-    private static final class ActiveRequest {
-        private final long id;
-        private final WireConnection connection;
-        private final long correlation;
-        private final RequestReply reply;
-        private final CallStart content;
-        private final Optional<Permit> permit;
-        private final long arrivedNanos;
-        private long startedNanos;
-        private Optional<UpstreamRequest> running = Optional.empty();
-
-        private ActiveRequest(
-                long id, RequestEvent.Arrived arrived, RequestReply reply, Optional<Permit> permit, long arrivedNanos) {
-            this.id = id;
-            this.connection = arrived.connection();
-            this.correlation = arrived.correlation();
-            this.reply = reply;
-            this.content = arrived.request();
-            this.permit = permit;
-            this.arrivedNanos = arrivedNanos;
-        }
-
-        private boolean isFrom(WireConnection otherConnection, long otherCorrelation) {
-            return connection.equals(otherConnection) && correlation == otherCorrelation;
-        }
-    }
 }
