A retried request is 'not run' only if none of its attempts may have run

What callers saw: the verdict 'not-run' for a request whose first attempt was lost with its connection, for example when a slot process ended, and whose retry no VM took. Cause: RetryFilter returned the verdict of the last attempt. Evidence: RetryFilterTest, 2 of 4 cases failed before ('not-run' for 'may-have-run'), 4 of 4 pass after. Why it works: the filter remembers the verdict of an attempt that may have run, and gives it in place of a later 'not run'.

--- a/galenahinge/src/main/java/org/galenahinge/request/RetryFilter.java
+++ b/galenahinge/src/main/java/org/galenahinge/request/RetryFilter.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -67,17 +68,18 @@
     public CompletionStage<Response> handle(Request request) {
         requests.inc();
         budget.updateAndGet(RetryBudget::recordRequest);
-        return sendAndRetry(request, Set.of(), 1);
+        return sendAndRetry(request, Set.of(), Optional.empty(), 1);
     }
 
-    private CompletionStage<Response> sendAndRetry(Request request, Set<String> excluded, int attemptNumber) {
+    private CompletionStage<Response> sendAndRetry(
+            Request request, Set<String> excluded, Optional<Verdict> mayHaveRun, int attemptNumber) {
         return attempt.send(request, excluded).thenCompose(response -> {
             if (!mayRetry(request, response, attemptNumber)) {
-                return CompletableFuture.completedFuture(response);
+                return CompletableFuture.completedFuture(withEarlierAttempts(response, mayHaveRun));
             }
             if (!takeRetryFromBudget()) {
                 rejectedRetries.inc();
-                return CompletableFuture.completedFuture(response);
+                return CompletableFuture.completedFuture(withEarlierAttempts(response, mayHaveRun));
             }
             retries.inc();
             decisions.record(
@@ -88,10 +90,20 @@
                     response.verdict().label() + " on attempt " + attemptNumber);
             Set<String> nextExcluded = new HashSet<>(excluded);
             nextExcluded.add(response.vm());
-            return sendAndRetry(request, nextExcluded, attemptNumber + 1);
+            Optional<Verdict> nextMayHaveRun =
+                    response.verdict() instanceof Verdict.MayHaveRun ? Optional.of(response.verdict()) : mayHaveRun;
+            return sendAndRetry(request, nextExcluded, nextMayHaveRun, attemptNumber + 1);
         });
     }
 
+    /** A request has not run only if none of its attempts may have run. */
+    private static Response withEarlierAttempts(Response response, Optional<Verdict> mayHaveRun) {
+        if (mayHaveRun.isEmpty() || !(response.verdict() instanceof Verdict.NotRun)) {
+            return response;
+        }
+        return Response.of(mayHaveRun.get(), response.vm());
+    }
+
     private boolean mayRetry(Request request, Response response, int attemptNumber) {
         if (attemptNumber >= MAXIMUM_ATTEMPTS
                 || request.permit().isPresent()
