A slot process ends the requests that are left when its time to stop is over

What callers saw: a request that its upstream held kept 'galenahinged slot' stopping until the supervisor killed it, which cut off all others, also requests that only waited and had not run. Cause: the stop had no end. Why it works: at the end of the new setting (120 s) the request controller rejects what waits and cancels what runs, so that each has its verdict before the connections are closed.

--- a/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
+++ b/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
@@ -59,6 +59,34 @@
         }
     }
 
+    /** Guards against a stop that outlasts its time, so that the process is killed and its callers get no response. */
+    @ParameterizedTest
+    @CsvSource({"slot, 2, not-run"})
+    void endsRequestsThatAreLeftAtTheEndOfAStop(String role, int requests, String lastVerdict) throws Exception {
+        List<String> flags = List.of("--stop-timeout-seconds", "1");
+        List<String> slotFlags = List.of("--stop-timeout-seconds", "1", "--maximum-concurrent", "1");
+        try (StoppedFleet fleet = new StoppedFleet(flags, slotFlags);
+                SlowCaller first = SlowCaller.connect(fleet.entryUri());
+                SlowCaller last = SlowCaller.connect(fleet.entryUri())) {
+            first.send("/v1/services/orders/held", "{}");
+            await().atMost(TIMEOUT).until(() -> fleet.begunRequests() == 1);
+            if (requests == 2) {
+                last.send("/v1/services/orders/held", "{}");
+                TimeUnit.MILLISECONDS.sleep(STOP_BEGINS_MILLIS);
+            }
+            CompletableFuture<Void> stopped =
+                    (role.equals("entry") ? fleet.entry().stop() : fleet.slot().stop()).toCompletableFuture();
+
+            assertThat(first.readResponse().header("Galenahinge-Verdict")).isEqualTo("may-have-run");
+            if (requests == 2) {
+                assertThat(last.readResponse().header("Galenahinge-Verdict")).isEqualTo(lastVerdict);
+            }
+            first.close();
+            last.close();
+            assertThat(stopped).succeedsWithin(TIMEOUT);
+        }
+    }
+
     /** Guards against a slot process that closes before the last responses are sent to an entry that reads slowly. */
     @ParameterizedTest
     @CsvSource({"1", "6"})
--- a/galenahinge/src/main/java/org/galenahinge/settings/VmSettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/settings/VmSettings.java
@@ -1,17 +1,19 @@
 package org.galenahinge.settings;
 
+import java.time.Duration;
 import java.util.List;
 import org.galenahinge.membership.Vm;
 
 /**
- * Settings that both daemons share: the VM that the process runs on, and logging.
+ * Settings that both daemons share: the VM that the process runs on, logging, and the time to stop.
  *
  * @param vm this VM, with its addresses and failure domain
  * @param logFormat {@code json} or {@code plain}
  * @param logLevel the minimum level that is logged
  * @param decisionLinesPerSecond the maximum number of decision lines logged per second
+ * @param stopTimeout the time after which a graceful stop ends the requests that are left
  */
-public record VmSettings(Vm vm, String logFormat, String logLevel, int decisionLinesPerSecond) {
+public record VmSettings(Vm vm, String logFormat, String logLevel, int decisionLinesPerSecond, Duration stopTimeout) {
     private static final Setting<String> NAME = Setting.name("name", "name of this VM, as in the VM list");
     private static final Setting<String> ADDRESS =
             Setting.address("address", "IP address of this VM, reachable from the fleet");
@@ -27,6 +29,13 @@
             Setting.choice("log-level", "minimum level that is logged", "info", "debug", "info", "warn", "error");
     private static final Setting<Long> DECISION_LINES_PER_SECOND = Setting.number(
             "decision-lines-per-second", "maximum number of decision lines logged per second", 1, 100_000, 500L);
+    private static final Setting<Long> STOP_TIMEOUT = Setting.number(
+            "stop-timeout-seconds",
+            "time after which a graceful stop ends the requests that are left, in seconds; the process exits within 5"
+                    + " more",
+            1,
+            3_600,
+            120L);
 
     /** All settings read by {@link #from}, which each daemon adds to its own. */
     static final List<Setting<?>> ALL = List.of(
@@ -38,7 +47,8 @@
             FAILURE_DOMAIN,
             LOG_FORMAT,
             LOG_LEVEL,
-            DECISION_LINES_PER_SECOND);
+            DECISION_LINES_PER_SECOND,
+            STOP_TIMEOUT);
 
     static VmSettings from(SettingsReader.Values values, Vm.Kind kind) {
         Vm vm = new Vm(
@@ -58,6 +68,7 @@
                 vm,
                 values.get(LOG_FORMAT),
                 values.get(LOG_LEVEL),
-                values.get(DECISION_LINES_PER_SECOND).intValue());
+                values.get(DECISION_LINES_PER_SECOND).intValue(),
+                Duration.ofSeconds(values.get(STOP_TIMEOUT)));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
@@ -137,6 +137,8 @@
         } else if (event instanceof RequestEvent.Drain drain) {
             drainListener = Optional.of(drain.onDrained());
             completeDrainIfIdle();
+        } else if (event instanceof RequestEvent.EndAll) {
+            endAll();
         }
         load = new Load(admission.running(), admission.waiting(), admission.capacity());
     }
@@ -294,6 +296,22 @@
                 CachedResponse.NONE);
     }
 
+    private void endAll() {
+        for (ActiveRequest request : List.copyOf(active.values())) {
+            if (request.running.isPresent()) {
+                request.running
+                        .get()
+                        .cancel(Reason.DRAINING, "the slot process stopped before the response was complete");
+                continue;
+            }
+            admission = admission.cancel(request.id);
+            end(
+                    request,
+                    Verdict.notRun(Reason.DRAINING, "the slot process is stopping", Duration.ZERO),
+                    CachedResponse.NONE);
+        }
+    }
+
     private void issuePermit(RequestEvent.PermitRequested requested) {
         PermitAnswer.Builder answer = PermitAnswer.newBuilder();
         if (drainListener.isPresent() || !serving.open()) {
--- a/galenahinge/src/main/java/org/galenahinge/slot/RequestEvent.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/RequestEvent.java
@@ -26,4 +26,7 @@
 
     /** Reject new requests and run {@code onDrained} once the last active request has ended. */
     record Drain(Runnable onDrained) implements RequestEvent {}
+
+    /** Reject the requests that wait and cancel those that run, because the process ends. */
+    record EndAll() implements RequestEvent {}
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -55,8 +55,12 @@
     private static final Duration DRAIN_DELAY = Duration.ofMillis(500);
 
     /** Time for the last frames to be sent to the entries and the other slot processes. */
-    private static final Duration SEND_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration SEND_TIMEOUT = Duration.ofSeconds(3);
 
+    /** Time for the requests that are ended at the end of a stop to get their verdicts. */
+    private static final Duration END_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Duration stopTimeout;
     private final NetworkThreads threads;
     private final WireNetwork network;
     private final ConnectionRegistry connections = ConnectionRegistry.create(MAXIMUM_CONNECTIONS);
@@ -73,6 +77,7 @@
     private Optional<CompletionStage<Void>> stopped = Optional.empty();
 
     private SlotDaemon(SlotSettings settings, MetricRegistry metrics) {
+        this.stopTimeout = settings.vmSettings().stopTimeout();
         Vm self = settings.vmSettings().vm();
         long incarnation = Incarnation.random();
         this.threads = NetworkThreads.start(NETWORK_THREADS);
@@ -159,7 +164,8 @@
     }
 
     /**
-     * Stops gracefully: notifies the entries, rejects new requests, lets every active request end, then closes.
+     * Stops gracefully: notifies the entries, rejects new requests, lets every active request end, then closes. Requests
+     * that are left after the time to stop get the verdict "not run" if they wait, and "may have run" if they run.
      *
      * @return completes when the process has closed everything; the same for each call
      */
@@ -173,11 +179,17 @@
     private CompletionStage<Void> beginStop() {
         leaving = true;
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        CompletableFuture.delayedExecutor(DRAIN_DELAY.toMillis(), TimeUnit.MILLISECONDS)
-                .execute(() -> requests.offer(new RequestEvent.Drain(() -> drained.complete(null))));
+        after(DRAIN_DELAY, () -> requests.offer(new RequestEvent.Drain(() -> drained.complete(null))));
+        after(stopTimeout, () -> requests.offer(new RequestEvent.EndAll()));
+        after(stopTimeout.plus(END_TIMEOUT), () -> drained.complete(null));
         return drained.thenComposeAsync(done -> sendLastFrames()).thenRunAsync(this::close);
     }
 
+    private static void after(Duration delay, Runnable action) {
+        CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS)
+                .execute(action);
+    }
+
     private CompletionStage<Void> sendLastFrames() {
         return connections
                 .closeWhenSent()
