An entry ends the requests that are left when its time to stop is over

What callers saw: a request without an end, or a caller that reads nothing, kept 'galenahinged entry' stopping until the supervisor killed it, which cut off every request in progress. Cause: the stop had no end.

--- a/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
+++ b/bench/src/test/java/org/galenahinge/bench/OwnStopTest.java
@@ -61,7 +61,7 @@
 
     /** Guards against a stop that outlasts its time, so that the process is killed and its callers get no response. */
     @ParameterizedTest
-    @CsvSource({"slot, 2, not-run"})
+    @CsvSource({"entry, 1, may-have-run", "slot, 2, not-run"})
     void endsRequestsThatAreLeftAtTheEndOfAStop(String role, int requests, String lastVerdict) throws Exception {
         List<String> flags = List.of("--stop-timeout-seconds", "1");
         List<String> slotFlags = List.of("--stop-timeout-seconds", "1", "--maximum-concurrent", "1");
--- a/galenahinge/src/main/java/org/galenahinge/entry/Dispatcher.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/Dispatcher.java
@@ -33,6 +33,7 @@
     private final FleetController fleet;
     private final DecisionLog decisions;
     private final SlotAttempt.Listener listener;
+    private final ActiveAttempts active = new ActiveAttempts();
 
     Dispatcher(
             ActorSystem<?> system,
@@ -64,10 +65,16 @@
                 return CompletableFuture.completedFuture(Response.of(rejected.verdict(), ""));
             }
             RoutingController.Route.Chosen chosen = (RoutingController.Route.Chosen) route;
-            return SlotAttempt.send(system, request, chosen.vm(), chosen.connection(), chosen.weightsKey(), listener);
+            return SlotAttempt.send(
+                    system, request, chosen.vm(), chosen.connection(), chosen.weightsKey(), active, listener);
         });
     }
 
+    /** Ends all attempts with the verdict "may have run", and begins no more: later ones have not run. */
+    void endAll() {
+        active.endAll();
+    }
+
     /** Requests a permit from any ready replica of the service that a request names. */
     CompletionStage<PermitResult> requestPermit(Request request) {
         return routing.route(request, Set.of()).thenCompose(route -> {
@@ -126,7 +133,7 @@
                 return ownerUnreachable(request, "the VM that issued this key cannot be reached");
             }
             routing.attemptStarted(permit.owner());
-            return SlotAttempt.send(system, request, permit.owner(), connection.get(), "", listener);
+            return SlotAttempt.send(system, request, permit.owner(), connection.get(), "", active, listener);
         });
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -63,6 +63,9 @@
     private static final int MAXIMUM_WEIGHT = 100;
     private static final Duration PEER_SYNCHRONIZATION_TIMEOUT = Duration.ofSeconds(5);
 
+    /** Time for the responses that a stop gives at its end to reach their callers. */
+    private static final Duration LAST_RESPONSE_TIME = Duration.ofSeconds(3);
+
     private final EntrySettings settings;
     private final Vm self;
     private final long incarnation = Incarnation.random();
@@ -80,6 +83,7 @@
     private final MetricRegistry metrics;
     private final RoutingController routing;
     private final CapacityFilter capacity;
+    private final Dispatcher dispatcher;
     private final CallerHttp callers;
     private final OperatorHttp operators;
     private final MetricsHttp metricsHttp;
@@ -125,7 +129,7 @@
                 metrics);
         this.metrics = metrics;
         this.capacity = new CapacityFilter(settings.maximumRequests(), this::rejectAll);
-        Dispatcher dispatcher = new Dispatcher(system, routing, connections, fleet, decisions);
+        this.dispatcher = new Dispatcher(system, routing, connections, fleet, decisions);
         RetryFilter retry = new RetryFilter(dispatcher::attempt, decisions, metrics);
         this.callers = new CallerHttp(
                 system,
@@ -179,7 +183,8 @@
 
     /**
      * Stops gracefully: announces it to other entries, rejects new requests, waits until every active request has
-     * ended, and then closes.
+     * ended and its response has left, and then closes. Attempts that are left after the time to stop get the verdict "may
+     * have run".
      *
      * @return completes when everything is closed; the same for each call
      */
@@ -197,7 +202,12 @@
         CompletableFuture<Void> idle = new CompletableFuture<>();
         capacity.whenIdle(() -> idle.complete(null));
         logActiveRequests(idle);
-        return idle.thenComposeAsync(done -> closeCallers()).thenRunAsync(this::close);
+        Duration stopTimeout = settings.vmSettings().stopTimeout();
+        long endNanos = System.nanoTime() + stopTimeout.toNanos();
+        return idle.completeOnTimeout(null, stopTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                .thenRunAsync(dispatcher::endAll)
+                .thenCompose(done -> closeCallers(endNanos))
+                .thenRunAsync(this::close);
     }
 
     private void logActiveRequests(CompletableFuture<Void> idle) {
@@ -343,8 +353,12 @@
                 .build();
     }
 
-    private CompletionStage<Void> closeCallers() {
-        return listener.map(HttpListener::close).orElseGet(() -> CompletableFuture.completedFuture(null));
+    /** Lets callers take the responses that are left, until the end of the stop and for at least a short time. */
+    private CompletionStage<Void> closeCallers(long endNanos) {
+        long nanos = Math.max(endNanos - System.nanoTime(), LAST_RESPONSE_TIME.toNanos());
+        CompletionStage<Void> closed =
+                listener.map(HttpListener::close).orElseGet(() -> CompletableFuture.completedFuture(null));
+        return closed.toCompletableFuture().completeOnTimeout(null, nanos, TimeUnit.NANOSECONDS);
     }
 
     private void close() {
--- a/galenahinge/src/main/java/org/galenahinge/entry/SlotAttempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/SlotAttempt.java
@@ -44,6 +44,7 @@
     private final Request request;
     private final String vm;
     private final WireConnection connection;
+    private final ActiveAttempts active;
     private final Listener listener;
     private final long startedNanos = System.nanoTime();
     private final CompletableFuture<Response> response = new CompletableFuture<>();
@@ -56,11 +57,17 @@
     private ByteString buffered = ByteString.emptyByteString();
 
     private SlotAttempt(
-            ActorSystem<?> system, Request request, String vm, WireConnection connection, Listener listener) {
+            ActorSystem<?> system,
+            Request request,
+            String vm,
+            WireConnection connection,
+            ActiveAttempts active,
+            Listener listener) {
         this.system = system;
         this.request = request;
         this.vm = vm;
         this.connection = connection;
+        this.active = active;
         this.listener = listener;
     }
 
@@ -85,6 +92,7 @@
      * @param vm the VM of the slot process
      * @param connection the connection to it
      * @param weightsKey the weights that must produce the response, empty for a plain service
+     * @param active holds the attempt until it ends
      * @param listener receives the progress
      * @return the response, also when the attempt fails: its verdict then says so
      */
@@ -94,12 +102,14 @@
             String vm,
             WireConnection connection,
             String weightsKey,
+            ActiveAttempts active,
             Listener listener) {
         SlotAttempt attempt = new SlotAttempt(
                 system,
                 Objects.requireNonNull(request, "request"),
                 Objects.requireNonNull(vm, "vm"),
                 Objects.requireNonNull(connection, "connection"),
+                Objects.requireNonNull(active, "active"),
                 Objects.requireNonNull(listener, "listener"));
         attempt.start(weightsKey);
         return attempt.response;
@@ -111,6 +121,10 @@
             rejectUnsent(Reason.DEADLINE, "the deadline passed before the request was sent");
             return;
         }
+        if (!active.add(this)) {
+            rejectUnsent(Reason.DRAINING, "this entry is stopping");
+            return;
+        }
         CallStart.Builder start = CallStart.newBuilder()
                 .setRequestId(request.requestId())
                 .setPath(request.path())
@@ -167,6 +181,11 @@
         end(Verdict.mayHaveRun(Reason.CONNECTION_LOST, "the connection to the VM was lost"), 0);
     }
 
+    /** Ends the attempt because the process ends. */
+    void processEnds() {
+        end(Verdict.mayHaveRun(Reason.DRAINING, "this entry stopped before the response was complete"), 0);
+    }
+
     private void timedOut() {
         end(Verdict.mayHaveRun(Reason.TIMEOUT, "no complete response in time"), 0);
     }
@@ -227,6 +246,7 @@
         if (!ended.compareAndSet(false, true)) {
             return;
         }
+        active.remove(this);
         connection.end(correlation);
         timer.ifPresent(Cancellable::cancel);
         listener.ended(request, vm, verdict, load);
