A stopping entry responds to requests on open connections for a moment more

What callers saw: a request sent on a kept connection 150 ms after the entry's last response had ended, in a stop, was reset or dropped without a response. Cause: connections were closed 50 ms after the last response, or read and dropped what came. Evidence: OwnStopTest.rejectsRequestsThatArriveDuringTheStop failed on the code before HttpListener ('Connection reset by peer') and after it ('the connection ended within a response'); it passes now (one run each). Why it works: for 500 ms after the last connection is accepted, requests get 503 'not-run' with 'Connection: close'; a connection on which nothing was sent in that time is then closed at once.

--- a/galenahinge/src/main/java/org/galenahinge/entry/HttpListener.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/HttpListener.java
@@ -39,8 +39,8 @@
     private static final Logger LOG = Logger.getLogger(HttpListener.class);
     private static final String NAME = "http-listener";
 
-    /** Time in which callers that have just read a response may send another request and get its rejection. */
-    private static final Duration LAST_REQUEST_TIME = Duration.ofMillis(50);
+    /** Time in which requests on open connections still get a response, after no more connections are accepted. */
+    private static final Duration LAST_REQUEST_TIME = Duration.ofMillis(500);
 
     private final ActorSystem<?> system;
     private final Function<HttpRequest, CompletionStage<HttpResponse>> handler;
--- a/galenahinge/src/main/java/org/galenahinge/entry/LingeringClose.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/LingeringClose.java
@@ -17,6 +17,9 @@
  * what it has not received yet.
  */
 final class LingeringClose extends GraphStage<BidiShape<ByteString, ByteString, ByteString, ByteString>> {
+    private static final String LINGER_TIMER = "linger";
+
+    /** From when the network has taken the last bytes. */
     private static final Duration LINGER_TIME = Duration.ofMillis(500);
 
     private final Inlet<ByteString> responses = Inlet.create("responses");
@@ -36,6 +39,7 @@
 
     private final class Logic extends TimerGraphStageLogic {
         private boolean responsesEnded;
+        private long lastTakenNanos = System.nanoTime();
 
         Logic() {
             super(shape());
@@ -51,11 +55,12 @@
         }
 
         private void linger() {
-            if (isClosed(fromCaller)) {
+            Duration remaining = LINGER_TIME.minusNanos(System.nanoTime() - lastTakenNanos);
+            if (isClosed(fromCaller) || remaining.isNegative() || remaining.isZero()) {
                 completeStage();
                 return;
             }
-            scheduleOnce("linger", LINGER_TIME);
+            scheduleOnce(LINGER_TIMER, remaining);
         }
 
         private void readOn() {
@@ -82,6 +87,7 @@
         private final class ToCallerHandler extends AbstractOutHandler {
             @Override
             public void onPull() {
+                lastTakenNanos = System.nanoTime();
                 if (responsesEnded) {
                     linger();
                     return;
