--- a/bench/src/test/java/org/galenahinge/bench/StoppedFleet.java
+++ b/bench/src/test/java/org/galenahinge/bench/StoppedFleet.java
@@ -36,8 +36,7 @@
 
     private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
-    private static final String TICKET =
-            """
+    private static final String TICKET = """
             {"number": 1, "groups": [{"group": "orders", "vms": ["order-1"], "service": "orders", "repeatable": true}]}
             """;
 
--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -63,9 +62,6 @@
     private static final int MAXIMUM_WEIGHT = 100;
     private static final Duration PEER_SYNCHRONIZATION_TIMEOUT = Duration.ofSeconds(5);
 
-    /** Time for the responses that a stop gives at its end to reach their callers. */
-    private static final Duration LAST_RESPONSE_TIME = Duration.ofSeconds(3);
-
     private final EntrySettings settings;
     private final Vm self;
     private final long incarnation = Incarnation.random();
@@ -199,25 +195,9 @@
         leaving = true;
         listener.ifPresent(HttpListener::announceEnd);
         membership.leave();
-        CompletableFuture<Void> idle = new CompletableFuture<>();
-        capacity.whenIdle(() -> idle.complete(null));
-        logActiveRequests(idle);
-        Duration stopTimeout = settings.vmSettings().stopTimeout();
-        long endNanos = System.nanoTime() + stopTimeout.toNanos();
-        return idle.completeOnTimeout(null, stopTimeout.toMillis(), TimeUnit.MILLISECONDS)
-                .thenRunAsync(dispatcher::endAll)
-                .thenCompose(done -> closeCallers(endNanos))
-                .thenRunAsync(this::close);
-    }
-
-    private void logActiveRequests(CompletableFuture<Void> idle) {
-        CompletableFuture.delayedExecutor(settings.drainReportInterval().toMillis(), TimeUnit.MILLISECONDS)
-                .execute(() -> {
-                    if (!idle.isDone()) {
-                        LOG.infof("still waiting for %d requests to end", capacity.activeRequests());
-                        logActiveRequests(idle);
-                    }
-                });
+        EntryStop stop = new EntryStop(
+                capacity, dispatcher, settings.vmSettings().stopTimeout(), settings.drainReportInterval());
+        return stop.run(this::closeCallers).thenRunAsync(this::close);
     }
 
     private void listen() throws IOException {
@@ -353,12 +333,8 @@
                 .build();
     }
 
-    /** Lets callers take the responses that are left, until the end of the stop and for at least a short time. */
-    private CompletionStage<Void> closeCallers(long endNanos) {
-        long nanos = Math.max(endNanos - System.nanoTime(), LAST_RESPONSE_TIME.toNanos());
-        CompletionStage<Void> closed =
-                listener.map(HttpListener::close).orElseGet(() -> CompletableFuture.completedFuture(null));
-        return closed.toCompletableFuture().completeOnTimeout(null, nanos, TimeUnit.NANOSECONDS);
+    private CompletionStage<Void> closeCallers() {
+        return listener.map(HttpListener::close).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
     private void close() {
--- a/galenahinge/src/main/java/org/galenahinge/entry/HttpListener.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/HttpListener.java
@@ -128,8 +128,9 @@
     }
 
     private Flow<HttpRequest, HttpResponse, ?> requests() {
-        return Flow.of(HttpRequest.class).via(lastRequest.flow()).mapAsync(1, request -> handleSafely(request)
-                .thenApply(this::withConnectionHeader));
+        return Flow.of(HttpRequest.class)
+                .via(lastRequest.flow())
+                .mapAsync(1, request -> handleSafely(request).thenApply(this::withConnectionHeader));
     }
 
     private CompletionStage<HttpResponse> handleSafely(HttpRequest request) {
