--- a/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/entry/EntryDaemon.java
@@ -8,11 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.galenahinge.daemon.ActorRuntime;
@@ -64,7 +61,6 @@
     private static final int MAXIMUM_ENTRIES_LISTED = 16;
     private static final int MAXIMUM_WEIGHT = 100;
     private static final Duration PEER_SYNCHRONIZATION_TIMEOUT = Duration.ofSeconds(5);
-    private static final Duration CLOSE_DELAY = Duration.ofMillis(50);
 
     private final EntrySettings settings;
     private final Vm self;
@@ -83,12 +79,14 @@
     private final MetricRegistry metrics;
     private final RoutingController routing;
     private final CapacityFilter capacity;
+    private final Dispatcher dispatcher;
     private final CallerHttp callers;
     private final OperatorHttp operators;
     private final MetricsHttp metricsHttp;
     private volatile Optional<DatagramNetwork> datagrams = Optional.empty();
-    private volatile Optional<ServerBinding> binding = Optional.empty();
+    private volatile Optional<HttpListener> listener = Optional.empty();
     private volatile boolean leaving;
+    private Optional<CompletionStage<Void>> stopped = Optional.empty();
 
     private EntryDaemon(EntrySettings settings, MetricRegistry metrics) {
         this.settings = settings;
@@ -127,7 +125,7 @@
                 metrics);
         this.metrics = metrics;
         this.capacity = new CapacityFilter(settings.maximumRequests(), this::rejectAll);
-        Dispatcher dispatcher = new Dispatcher(system, routing, connections, fleet, decisions);
+        this.dispatcher = new Dispatcher(system, routing, connections, fleet, decisions);
         RetryFilter retry = new RetryFilter(dispatcher::attempt, decisions, metrics);
         this.callers = new CallerHttp(
                 system,
@@ -181,29 +179,25 @@
 
     /**
      * Stops gracefully: announces it to other entries, rejects new requests, waits until every active request has
-     * ended, and then closes.
+     * ended and its response has left, and then closes. Attempts that are left after the time to stop get the verdict "may
+     * have run".
      *
-     * @return completes when everything is closed
+     * @return completes when everything is closed; the same for each call
      */
-    public CompletionStage<Void> stop() {
-        leaving = true;
-        membership.leave();
-        CompletableFuture<Void> idle = new CompletableFuture<>();
-        capacity.whenIdle(() -> idle.complete(null));
-        logActiveRequests(idle);
-        return idle.thenRunAsync(this::unbind)
-                .thenRunAsync(
-                        this::close, CompletableFuture.delayedExecutor(CLOSE_DELAY.toMillis(), TimeUnit.MILLISECONDS));
+    public synchronized CompletionStage<Void> stop() {
+        if (stopped.isEmpty()) {
+            stopped = Optional.of(beginStop());
+        }
+        return stopped.get();
     }
 
-    private void logActiveRequests(CompletableFuture<Void> idle) {
-        CompletableFuture.delayedExecutor(settings.drainReportInterval().toMillis(), TimeUnit.MILLISECONDS)
-                .execute(() -> {
-                    if (!idle.isDone()) {
-                        LOG.infof("still waiting for %d requests to end", capacity.activeRequests());
-                        logActiveRequests(idle);
-                    }
-                });
+    private CompletionStage<Void> beginStop() {
+        leaving = true;
+        listener.ifPresent(HttpListener::announceEnd);
+        membership.leave();
+        EntryStop stop = new EntryStop(
+                capacity, dispatcher, settings.vmSettings().stopTimeout(), settings.drainReportInterval());
+        return stop.run(this::closeCallers).thenRunAsync(this::close);
     }
 
     private void listen() throws IOException {
@@ -215,9 +209,7 @@
         tickets.start();
         fleet.start();
         try {
-            binding = Optional.of(Http.get(system)
-                    .newServerAt(self.address(), self.httpPort())
-                    .bind(this::handle)
+            listener = Optional.of(HttpListener.bind(system, self.address(), self.httpPort(), this::handle)
                     .toCompletableFuture()
                     .join());
         } catch (RuntimeException e) {
@@ -341,8 +333,8 @@
                 .build();
     }
 
-    private void unbind() {
-        binding.ifPresent(bound -> bound.unbind().toCompletableFuture().join());
+    private CompletionStage<Void> closeCallers() {
+        return listener.map(HttpListener::close).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
 
     private void close() {
--- a/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
@@ -137,6 +137,8 @@
         } else if (event instanceof RequestEvent.Drain drain) {
             drainListener = Optional.of(drain.onDrained());
             completeDrainIfIdle();
+        } else if (event instanceof RequestEvent.EndAll) {
+            endAll();
         }
         load = new Load(admission.running(), admission.waiting(), admission.capacity());
     }
@@ -294,6 +296,22 @@
                 CachedResponse.NONE);
     }
 
+    private void endAll() {
+        for (ActiveRequest request : List.copyOf(active.values())) {
+            if (request.running.isPresent()) {
+                request.running
+                        .get()
+                        .cancel(Reason.DRAINING, "the slot process stopped before the response was complete");
+                continue;
+            }
+            admission = admission.cancel(request.id);
+            end(
+                    request,
+                    Verdict.notRun(Reason.DRAINING, "the slot process is stopping", Duration.ZERO),
+                    CachedResponse.NONE);
+        }
+    }
+
     private void issuePermit(RequestEvent.PermitRequested requested) {
         PermitAnswer.Builder answer = PermitAnswer.newBuilder();
         if (drainListener.isPresent() || !serving.open()) {
@@ -359,31 +377,4 @@
      * @param capacity the maximum that run at once
      */
     record Load(int running, int waiting, int capacity) {}
-
-    private static final class ActiveRequest {
-        private final long id;
-        private final WireConnection connection;
-        private final long correlation;
-        private final RequestReply reply;
-        private final CallStart content;
-        private final Optional<Permit> permit;
-        private final long arrivedNanos;
-        private long startedNanos;
-        private Optional<UpstreamRequest> running = Optional.empty();
-
-        private ActiveRequest(
-                long id, RequestEvent.Arrived arrived, RequestReply reply, Optional<Permit> permit, long arrivedNanos) {
-            this.id = id;
-            this.connection = arrived.connection();
-            this.correlation = arrived.correlation();
-            this.reply = reply;
-            this.content = arrived.request();
-            this.permit = permit;
-            this.arrivedNanos = arrivedNanos;
-        }
-
-        private boolean isFrom(WireConnection otherConnection, long otherCorrelation) {
-            return connection.equals(otherConnection) && correlation == otherCorrelation;
-        }
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/SlotDaemon.java
@@ -54,8 +54,16 @@
     /** Delay from announcing the stop to the entries until new requests are rejected. */
     private static final Duration DRAIN_DELAY = Duration.ofMillis(500);
 
+    /** Time for the last frames to be sent to the entries and the other slot processes. */
+    private static final Duration SEND_TIMEOUT = Duration.ofSeconds(3);
+
+    /** Time for the requests that are ended at the end of a stop to get their verdicts. */
+    private static final Duration END_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Duration stopTimeout;
     private final NetworkThreads threads;
     private final WireNetwork network;
+    private final ConnectionRegistry connections = ConnectionRegistry.create(MAXIMUM_CONNECTIONS);
     private final RequestController requests;
     private final TicketController tickets;
     private final WeightsController weights;
@@ -66,8 +74,10 @@
     private final SlotFrameHandler frames;
     private volatile ServingState serviceState = ServingState.CLOSED;
     private volatile boolean leaving;
+    private Optional<CompletionStage<Void>> stopped = Optional.empty();
 
     private SlotDaemon(SlotSettings settings, MetricRegistry metrics) {
+        this.stopTimeout = settings.vmSettings().stopTimeout();
         Vm self = settings.vmSettings().vm();
         long incarnation = Incarnation.random();
         this.threads = NetworkThreads.start(NETWORK_THREADS);
@@ -79,7 +89,6 @@
                 .setKind(Peers.SLOT)
                 .setRegion(self.region())
                 .build();
-        ConnectionRegistry connections = ConnectionRegistry.create(MAXIMUM_CONNECTIONS);
         PeerConnections peerConnections = PeerConnections.create(network, hello, new SlotFrameHandler.Outgoing());
         ChunkCache cache = ChunkCache.create(settings.weightsMemoryBytes());
         this.requests = RequestController.start(
@@ -155,16 +164,37 @@
     }
 
     /**
-     * Stops gracefully: notifies the entries, rejects new requests, lets every active request end, then closes.
+     * Stops gracefully: notifies the entries, rejects new requests, lets every active request end, then closes. Requests
+     * that are left after the time to stop get the verdict "not run" if they wait, and "may have run" if they run.
      *
-     * @return completes when the process has closed everything
+     * @return completes when the process has closed everything; the same for each call
      */
-    public CompletionStage<Void> stop() {
+    public synchronized CompletionStage<Void> stop() {
+        if (stopped.isEmpty()) {
+            stopped = Optional.of(beginStop());
+        }
+        return stopped.get();
+    }
+
+    private CompletionStage<Void> beginStop() {
         leaving = true;
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        CompletableFuture.delayedExecutor(DRAIN_DELAY.toMillis(), TimeUnit.MILLISECONDS)
-                .execute(() -> requests.offer(new RequestEvent.Drain(() -> drained.complete(null))));
-        return drained.thenRunAsync(this::close);
+        after(DRAIN_DELAY, () -> requests.offer(new RequestEvent.Drain(() -> drained.complete(null))));
+        after(stopTimeout, () -> requests.offer(new RequestEvent.EndAll()));
+        after(stopTimeout.plus(END_TIMEOUT), () -> drained.complete(null));
+        return drained.thenComposeAsync(done -> sendLastFrames()).thenRunAsync(this::close);
+    }
+
+    private static void after(Duration delay, Runnable action) {
+        CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS)
+                .execute(action);
+    }
+
+    private CompletionStage<Void> sendLastFrames() {
+        return connections
+                .closeWhenSent()
+                .toCompletableFuture()
+                .completeOnTimeout(null, SEND_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void listen(Vm self, MetricsHttp metricsHttp) throws IOException {
