--- a/bench/src/main/java/org/galenahinge/bench/ManagedProcess.java
+++ b/bench/src/main/java/org/galenahinge/bench/ManagedProcess.java
@@ -110,6 +110,16 @@
         return process.exitValue();
     }
 
+    /** Requests a graceful stop as from a terminal (SIGINT), without waiting for the exit. */
+    public void interrupt() {
+        signal("INT");
+    }
+
+    /** Requests that it reloads its settings (SIGHUP). */
+    public void requestReload() {
+        signal("HUP");
+    }
+
     /** Suspends it with SIGSTOP, until {@link #unfreeze}. */
     public void freeze() {
         signal("STOP");
