--- a/bench/src/main/java/org/galenahinge/bench/soak/Finding.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Finding.java
@@ -56,4 +56,9 @@
     boolean isViolation() {
         return violation;
     }
+
+    /** Returns whether it breaks a promise only if there are too many of it. */
+    boolean countsByNumber() {
+        return this == CUT_AT_ANY_TIME || this == CUT_BESIDE_CONFIG;
+    }
 }
--- a/bench/src/main/java/org/galenahinge/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/SoakRun.java
@@ -248,7 +248,7 @@
                 attempt.behind().map(id -> runs.getOrDefault(id, List.of())).orElse(List.of());
         for (Verdict.Judgement judgement : verdict.judge(attempt, seen, before, work)) {
             tally.add(judgement.finding(), attempt.entry());
-            if (judgement.finding().isViolation() || judgement.finding() == Finding.CUT_AT_ANY_TIME) {
+            if (judgement.finding().isViolation() || judgement.finding().countsByNumber()) {
                 printViolation(judgement, attempt, seen, work);
             }
         }
