A caller that reads a large response slowly is waited for until it closes, or the process must exit

Cause: an idle connection was closed 0.5 s after its output was shut down; what arrives after that resets the connection, with the bytes that the network still holds. A response that the network has taken counts as delivered, and Java cannot see what was received. After a response of more than 32 KB the connection is now read until its caller closes it; small ones stay at 0.5 s, so that idle entries stop as soon as before.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -356,7 +356,9 @@
         closing = true;
         context.channel().config().setAutoRead(true);
         delivery.shutDown();
-        setTimer(CLOSE_LINGER, () -> context.close());
+        // A request that arrives after the close would reset the connection, with what the caller has not received yet.
+        Duration linger = delivery.mayBeUnread() ? limits.get().idleTimeout() : CLOSE_LINGER;
+        setTimer(linger, () -> context.close());
     }
 
     private void close() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
@@ -11,7 +11,11 @@
  * gateway's thread only.
  */
 final class CallerDelivery {
+    /** The bytes of a response that its caller is taken to have received soon after they were given to the network. */
+    private static final int SMALL_RESPONSE_BYTES = 32 << 10;
+
     private final ChannelHandlerContext context;
+    private long responseBytes;
     private int unwrittenResponses;
     private boolean bodyEndsWithConnection;
 
@@ -19,6 +23,21 @@
         this.context = Objects.requireNonNull(context, "context");
     }
 
+    /** Records the begin of a response. */
+    void responseBegins() {
+        responseBytes = 0;
+    }
+
+    /** Records a part of the body of a response that is given to the network. */
+    void partWritten(int bytes) {
+        responseBytes += bytes;
+    }
+
+    /** Whether the network may hold a part of the last response that a caller which reads slowly has not received. */
+    boolean mayBeUnread() {
+        return responseBytes > SMALL_RESPONSE_BYTES;
+    }
+
     /** Records a response that ends with a write; several may be on their way. */
     void responseEnded(ChannelFuture lastWrite) {
         unwrittenResponses++;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
@@ -63,6 +63,8 @@
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content, headers, new DefaultHttpHeaders());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         setConnectionHeader(response);
+        delivery.responseBegins();
+        delivery.partWritten(content.readableBytes());
         ChannelFuture written = context.writeAndFlush(response);
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         listener.responseEnded(written, !last);
@@ -81,6 +83,7 @@
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         setConnectionHeader(response);
+        delivery.responseBegins();
         context.write(response, context.voidPromise());
     }
 
@@ -90,6 +93,7 @@
             content.release();
             return;
         }
+        delivery.partWritten(content.readableBytes());
         context.writeAndFlush(new DefaultHttpContent(content), context.voidPromise());
     }
 
