--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -45,7 +45,14 @@
         private static final int FIRST_BLOCK = 20_000;
         private static final int BLOCKS = 1_000;
         private static final int BLOCK_PORTS = 8;
-        private static final AtomicInteger NEXT_BLOCK = new AtomicInteger(new Random().nextInt(BLOCKS));
+
+        /** Processes that run tests side by side use blocks that are far apart; the property is their number, from 1. */
+        private static final int BLOCKS_OF_A_PROCESS = 400;
+
+        private static final int FIRST_OF_THIS_PROCESS =
+                Integer.getInteger("galenahinge.test.fork", 1) * BLOCKS_OF_A_PROCESS;
+        private static final AtomicInteger NEXT_BLOCK =
+                new AtomicInteger(FIRST_OF_THIS_PROCESS + new Random().nextInt(BLOCKS_OF_A_PROCESS / 2));
 
         private final int callers = findFreeBlock();
         private final int ready = callers + 1;
