--- a/bench/src/main/java/org/galenahinge/bench/soak/EntryUnderTest.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/EntryUnderTest.java
@@ -189,7 +189,7 @@
         signalledAtStart = false;
         starts.add(System.nanoTime());
         Map<String, String> environment =
-                Map.of("GALENAHINGE_CONFIG", settingsFile().toString());
+                Map.of(EntryFleetStandIn.SETTINGS_PATH_VARIABLE, settingsFile().toString());
         process = ManagedProcess.start(name() + "-life-" + lives, logs, environment, command);
     }
 
--- a/bench/src/main/java/org/galenahinge/bench/soak/Finding.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Finding.java
@@ -22,7 +22,7 @@
     EXCUSED_TIME(false),
     /** No complete response: an early request at which an upstream still worked in the last sixth of the grace. */
     EXCUSED_LAST_SIXTH(false),
-    /** No complete response, beside an impairment that is not planned, or beside no planned work out of touch. */
+    /** No complete response, beside a fault that is not planned, or beside no planned work out of touch. */
     DISTURBED(false),
     /** No complete response beside a config; its number is judged at the end. */
     CUT_BESIDE_CONFIG(false),
--- a/bench/src/main/java/org/galenahinge/bench/soak/PlannedWork.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/PlannedWork.java
@@ -8,7 +8,7 @@
  * @param stops when each of its processes got its first SIGTERM, in nanoseconds of {@link System#nanoTime()}
  * @param reloads when it got SIGHUP, in the same clock
  * @param configs when a config was published, in the same clock; the store acknowledges it at once
- * @param impairments freezes of its processes
+ * @param freezes freezes of its processes
  * @param storeAway spans in which the store was away
  * @param starts when its processes were started, in the same clock
  */
@@ -16,14 +16,14 @@
         List<Long> stops,
         List<Long> reloads,
         List<Long> configs,
-        List<Span> impairments,
+        List<Span> freezes,
         List<Span> storeAway,
         List<Long> starts) {
     PlannedWork {
         stops = List.copyOf(stops);
         reloads = List.copyOf(reloads);
         configs = List.copyOf(configs);
-        impairments = List.copyOf(impairments);
+        freezes = List.copyOf(freezes);
         storeAway = List.copyOf(storeAway);
         starts = List.copyOf(starts);
     }
--- a/bench/src/main/java/org/galenahinge/bench/soak/Verdict.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Verdict.java
@@ -125,11 +125,11 @@
         return passedOn && isInTouch(attempt, work) ? Finding.CUT_AT_ANY_TIME : Finding.DISTURBED;
     }
 
-    /** An impairment of the store alone excuses streams only. */
+    /** A fault of the store alone excuses streams only. */
     private boolean isImpaired(Attempt attempt, PlannedWork work) {
         long fromNanos = attempt.sentNanos() - bounds.stableWindow().toNanos();
         boolean storeCounts = attempt.order().kind().isStream();
-        return overlapsAny(work.impairments(), fromNanos, attempt.endNanos())
+        return overlapsAny(work.freezes(), fromNanos, attempt.endNanos())
                 || (storeCounts && overlapsAny(work.storeAway(), fromNanos, attempt.endNanos()));
     }
 
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
@@ -17,6 +17,9 @@
  * settings of the entries, each of which has a loopback address of its own, with the same ports on all of them.
  */
 public final class EntryFleetStandIn implements AutoCloseable {
+    /** The environment variable that tells an entry where its settings file is. */
+    public static final String SETTINGS_PATH_VARIABLE = "GALENAHINGE_CONFIG";
+
     /** The time that an entry has to stop, in seconds. */
     public static final int GRACE_SECONDS = 8;
 
