--- a/galenahinge/src/main/java/org/galenahinge/daemon/DaemonMain.java
+++ b/galenahinge/src/main/java/org/galenahinge/daemon/DaemonMain.java
@@ -26,8 +26,8 @@
     private DaemonMain() {}
 
     /**
-     * Runs a daemon until it is stopped by a signal. HUP changes nothing, since a daemon reads its settings once. Exits with 0 after a graceful stop, 1 when it cannot start and
-     * 2 when a setting is invalid.
+     * Runs a daemon until it is stopped by a signal. HUP changes nothing, since a daemon reads its settings once. Exits
+     * with 0 after a graceful stop, 1 when it cannot start and 2 when a setting is invalid.
      *
      * @param arguments {@code entry} or {@code slot}, then the flags of that daemon
      */
