One finder for blocks of free ports in the stand-ins

EntryFleetStandIn had a search of its own beside that of DeploymentStandIn.Ports, without the separation of test processes: for a moment it bound, at all addresses, ports that a test in the other process may have been about to bind. PortBlock serves both now; the numbers are the same.

--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -2,13 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.IntStream;
 
 /**
  * A small deployment of the platform on the loopback address: a store, an origin and upstreams. It also creates the
@@ -42,46 +38,12 @@
 
     /** The ports on which one process listens, all from one block. */
     public static final class Ports {
-        private static final int FIRST_BLOCK = 20_000;
-        private static final int BLOCKS = 1_000;
-        private static final int BLOCK_PORTS = 8;
-
-        /** Processes that run tests side by side use blocks that are far apart; the property is their number, from 1. */
-        private static final int BLOCKS_OF_A_PROCESS = 400;
-
-        private static final int FIRST_OF_THIS_PROCESS =
-                Integer.getInteger("galenahinge.test.fork", 1) * BLOCKS_OF_A_PROCESS;
-        private static final AtomicInteger NEXT_BLOCK =
-                new AtomicInteger(FIRST_OF_THIS_PROCESS + new Random().nextInt(BLOCKS_OF_A_PROCESS / 2));
-
-        private final int callers = findFreeBlock();
+        private final int callers = PortBlock.findFree(InetAddress.getLoopbackAddress());
         private final int ready = callers + 1;
         private final int control = callers + 2;
         private final int directory = callers + 3;
         private final int internal = callers + 4;
 
-        /**
-         * Finds a free block of ports. It lies below the ephemeral ports, so that no other socket is given one of them
-         * before the process binds it.
-         */
-        private static int findFreeBlock() {
-            for (int attempts = 0; attempts < BLOCKS; attempts++) {
-                int first = FIRST_BLOCK + Math.floorMod(NEXT_BLOCK.getAndIncrement(), BLOCKS) * BLOCK_PORTS;
-                if (IntStream.range(first, first + BLOCK_PORTS).allMatch(Ports::isFree)) {
-                    return first;
-                }
-            }
-            throw new IllegalStateException("no block of ports is free");
-        }
-
-        private static boolean isFree(int port) {
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.isBound();
-            } catch (IOException e) {
-                return false;
-            }
-        }
-
         /**
          * Returns the port for the requests of callers.
          *
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
@@ -3,14 +3,11 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 /**
  * What entries meet outside: a store with a config, and upstreams that record what reaches them. It also creates the
@@ -38,15 +35,13 @@
     static final String HOST = "desk.example";
     static final String KEY = "key-of-a-tenant";
     private static final String SERVICE = "work";
-    private static final int PORTS = 8;
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORT_BLOCKS = 1_000;
+    private static final InetAddress ALL_ADDRESSES = new InetSocketAddress(0).getAddress();
     private static final int FIRST_ADDRESS = 11;
     private static final int RETRY_SLACK = 102;
 
     private final StoreStandIn store = new StoreStandIn();
     private final List<RecordingUpstream> upstreams = new ArrayList<>();
-    private final int firstPort = findFreePorts();
+    private final int firstPort = PortBlock.findFree(ALL_ADDRESSES);
     private long version;
 
     /**
@@ -172,23 +167,4 @@
     private static String ip(int entry) {
         return "127.0.0." + (FIRST_ADDRESS + entry);
     }
-
-    private static int findFreePorts() {
-        Random random = new Random();
-        for (int attempt = 0; attempt < PORT_BLOCKS; attempt++) {
-            int first = FIRST_PORT + random.nextInt(PORT_BLOCKS) * PORTS;
-            if (IntStream.range(first, first + PORTS).allMatch(EntryFleetStandIn::isFree)) {
-                return first;
-            }
-        }
-        throw new IllegalStateException("no block of ports is free");
-    }
-
-    private static boolean isFree(int port) {
-        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("0.0.0.0"))) {
-            return socket.isBound();
-        } catch (IOException e) {
-            return false;
-        }
-    }
 }
