One way to end a request early in a slot process

A caller that has left and the end of a stop cancelled what runs and rejected what waits by the same steps, written twice. Behaviour is unchanged.

--- a/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
+++ b/galenahinge/src/main/java/org/galenahinge/slot/RequestController.java
@@ -285,33 +285,28 @@
         if (request.permit.isPresent()) {
             return;
         }
-        if (request.running.isPresent()) {
-            request.running.get().cancel(Reason.CONNECTION_LOST, "the caller disconnected");
-            return;
-        }
-        admission = admission.cancel(request.id);
-        end(
-                request,
-                Verdict.notRun(Reason.CONNECTION_LOST, "the caller disconnected", Duration.ZERO),
-                CachedResponse.NONE);
+        endEarly(request, Reason.CONNECTION_LOST, "the caller disconnected");
     }
 
     private void endAll() {
         for (ActiveRequest request : List.copyOf(active.values())) {
-            if (request.running.isPresent()) {
-                request.running
-                        .get()
-                        .cancel(Reason.DRAINING, "the slot process stopped before the response was complete");
-                continue;
-            }
-            admission = admission.cancel(request.id);
-            end(
-                    request,
-                    Verdict.notRun(Reason.DRAINING, "the slot process is stopping", Duration.ZERO),
-                    CachedResponse.NONE);
+            String detail = request.running.isPresent()
+                    ? "the slot process stopped before the response was complete"
+                    : "the slot process is stopping";
+            endEarly(request, Reason.DRAINING, detail);
         }
     }
 
+    /** Cancels a request that runs, and rejects one that waits: it has not run. */
+    private void endEarly(ActiveRequest request, Reason reason, String detail) {
+        if (request.running.isPresent()) {
+            request.running.get().cancel(reason, detail);
+            return;
+        }
+        admission = admission.cancel(request.id);
+        end(request, Verdict.notRun(reason, detail, Duration.ZERO), CachedResponse.NONE);
+    }
+
     private void issuePermit(RequestEvent.PermitRequested requested) {
         PermitAnswer.Builder answer = PermitAnswer.newBuilder();
         if (drainListener.isPresent() || !serving.open()) {
