--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerActivity.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerActivity.java
@@ -30,13 +30,4 @@
     public int busy() {
         return reading + running + writing;
     }
-
-    /**
-     * Returns whether the process could exit without an effect on its callers.
-     *
-     * @return whether there are no connections
-     */
-    public boolean isOver() {
-        return waiting + busy() + lingering == 0;
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -302,7 +302,7 @@
         // Scheduled first, so that an error in one check does not prevent the next.
         timers.schedule(STOP_CHECK_INTERVAL, () -> checkStop(schedule, stopped));
         callerServer.closeIdle();
-        boolean isOver = callerServer.activity().isOver();
+        boolean isOver = callerServer.connections() == 0;
         if (isOver || timers.nanoTime() - schedule.endNanos() >= 0) {
             endRequests();
         }
