Requests that have not begun on weights whose time ends are withdrawn from their engine

Cause: entries checked the version when they placed a request and never again. What then lay in a socket of a suspended VM, or in an engine's queue, began whenever the engine got to it, on the version that it still had.

Half a second before the time of the older version ends, an entry closes the connections of attempts that have brought no event and whose engine is not known to have the newer version. An engine that runs drops them at once; one whose VM is suspended finds the close behind the request when it runs again. A stream that may be resumed is retried elsewhere. A connection that opens after the time for placements carries nothing to such an engine.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -18,14 +18,17 @@
 import java.util.OptionalLong;
 import org.galenahinge.concurrent.Timers.Timer;
 import org.galenahinge.engine.EventSplitter;
+import org.galenahinge.gateway.UnstartedAttempts.UnstartedAttempt;
 import org.galenahinge.http.HttpConnection;
 import org.galenahinge.placement.PlacementCandidate;
+import org.galenahinge.placement.PromptShape;
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.quarantine.RequestTrait;
 import org.galenahinge.upstream.UpstreamPool;
+import org.galenahinge.upstream.WeightsVersion;
 
 /** One attempt to run a request at one upstream. Used by the gateway's thread only. */
-final class Attempt implements HttpConnection.Listener, HttpConnection.ConnectListener {
+final class Attempt implements HttpConnection.Listener, HttpConnection.ConnectListener, UnstartedAttempt {
     private static final int MAXIMUM_EVENT_BYTES = 256 << 10;
     private static final int MAXIMUM_BUFFERED_BYTES = 256 << 10;
     private static final int OK = 200;
@@ -101,6 +104,12 @@
             end(Outcome.NOT_SENT, "the upstream has named a time after which it wants requests");
             return;
         }
+        if (isOutdated()) {
+            pool.release(open);
+            candidate.load().discard(this);
+            end(Outcome.NOT_SENT, "its connection opened after the time of the upstream's weights");
+            return;
+        }
         if (!request.tryCountAttempt()) {
             pool.release(open);
             candidate.load().discard(this);
@@ -109,6 +118,7 @@
         }
         connection = Optional.of(open);
         sent = true;
+        request.gateway().unstartedAttempts().add(this);
         open.send(head(), Unpooled.wrappedBuffer(request.callerRequest().body()), this);
         checkStall(stallTimeout());
         if (request.route().kind().isStream() && request.route().kind().isIdempotent()) {
@@ -155,6 +165,10 @@
         streaming = isSuccess() && request.route().kind().isStream() && type.startsWith("text/event-stream");
         if (request.response().hasBegun() && !(streaming && mayContinue(response))) {
             endWithoutContinuation();
+            return;
+        }
+        if (!streaming) {
+            request.gateway().unstartedAttempts().remove(this);
         }
     }
 
@@ -208,6 +222,16 @@
         complete(false);
     }
 
+    /** Closes the connection, so that the upstream drops the request, and has it retried elsewhere if that is allowed. */
+    @Override
+    public void withdraw(long required) {
+        connection.ifPresent(HttpConnection::close);
+        connection = Optional.empty();
+        candidate.load().discard(this);
+        request.gateway().metrics().withdrawn();
+        end(Outcome.UNKNOWN, "not begun in time on version " + required + " of the weights or a newer one");
+    }
+
     void resume() {
         connection.ifPresent(open -> open.setReading(true));
     }
@@ -230,6 +254,17 @@
         return requestLimit;
     }
 
+    @Override
+    public Optional<String> model() {
+        return request.callerRequest().metadata().prompt().map(PromptShape::model);
+    }
+
+    @Override
+    public long oldestPossibleVersion() {
+        long believed = candidate.weights(now()).map(WeightsVersion::version).orElse(0L);
+        return Math.max(believed, exactVersion.orElse(0L));
+    }
+
     /** Returns how many events of its stream were passed on. */
     int events() {
         return events;
@@ -249,6 +284,12 @@
         return (long) predictedMillis;
     }
 
+    /** Whether the upstream's weights were allowed when the request was placed, and are not any more. */
+    private boolean isOutdated() {
+        OptionalLong minimum = model().map(request.gateway()::minimumVersion).orElse(OptionalLong.empty());
+        return oldestPossibleVersion() < minimum.orElse(0L);
+    }
+
     private DefaultHttpRequest head() {
         CallerRequest original = request.callerRequest();
         HttpHeaders forwarded = new DefaultHttpHeaders(false);
@@ -401,6 +442,7 @@
         }
         lastProgressNanos = now();
         if (events == 0) {
+            request.gateway().unstartedAttempts().remove(this);
             recordFirstEvent();
         }
         events++;
@@ -453,7 +495,7 @@
             return;
         }
         done = true;
-        cancelTimers();
+        stopChecks();
         // These statuses suggest that the request did not run. They are not passed on, because the upstream has not
         // stated explicitly that it did not run the request.
         Outcome outcome = impliesNotRun() ? Outcome.UNKNOWN : Outcome.FAILED;
@@ -507,7 +549,7 @@
             return;
         }
         done = true;
-        cancelTimers();
+        stopChecks();
         buffered.release();
         request.attemptFailed(this, outcome, detail);
         request.gateway().serveWaitingAt(upstreamId());
@@ -518,7 +560,7 @@
             return;
         }
         done = true;
-        cancelTimers();
+        stopChecks();
         if (succeeded) {
             candidate.load().recordEnd(this, true, now());
             request.gateway().metrics().firstByte(firstByteMillis(), predictedMillis());
@@ -578,7 +620,8 @@
                 request.gateway().timers().schedule(UNRESPONSIVE_TIMEOUT.dividedBy(2), this::checkUnresponsive));
     }
 
-    private void cancelTimers() {
+    private void stopChecks() {
+        request.gateway().unstartedAttempts().remove(this);
         stallTimer.ifPresent(Timer::cancel);
         stallTimer = Optional.empty();
         unresponsiveTimer.ifPresent(Timer::cancel);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -41,7 +41,11 @@
 public final class Gateway {
     private static final int WAITING_CAPACITY = 256;
     private static final Duration QUEUE_SCAN_INTERVAL = Duration.ofMillis(20);
-    private static final Duration VERSION_ROLLOUT_MARGIN = Duration.ofMillis(1_500);
+    /** How long before the end of a version's rollout time nothing more is placed on an older one. */
+    private static final Duration PLACEMENT_MARGIN = Duration.ofMillis(1_500);
+
+    /** How long before that end requests that have not begun on an older version are withdrawn. */
+    private static final Duration WITHDRAWAL_MARGIN = Duration.ofMillis(500);
 
     private final GatewaySettings settings;
     private final FleetFacts facts;
@@ -56,6 +60,7 @@
     private final CrashLedger crashLedger;
     private final CrashDetector crashDetector;
     private final NamedLimits namedLimits;
+    private final UnstartedAttempts unstartedAttempts;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
     private boolean queueScanScheduled;
@@ -85,6 +90,7 @@
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
         this.namedLimits = namedLimits;
+        this.unstartedAttempts = new UnstartedAttempts(timers, this::versionRequiredToBegin);
         this.crashDetector = new CrashDetector(crashLedger, timers, log);
         registry.gauge("upstream.known", () -> upstreams::size);
     }
@@ -304,7 +310,16 @@
 
     /** The newest version whose rollout time is nearly over; requests must not start on an older one. */
     OptionalLong minimumVersion(String model) {
-        return facts.newestNamedBefore(model, settings.versionRollout().minus(VERSION_ROLLOUT_MARGIN));
+        return facts.newestNamedBefore(model, settings.versionRollout().minus(PLACEMENT_MARGIN));
+    }
+
+    /** Returns the attempts at engines that have not begun. */
+    UnstartedAttempts unstartedAttempts() {
+        return unstartedAttempts;
+    }
+
+    private OptionalLong versionRequiredToBegin(String model) {
+        return facts.newestNamedBefore(model, settings.versionRollout().minus(WITHDRAWAL_MARGIN));
     }
 
     /** Schedules a scan of the waiting requests, so that none waits past its maximum wait. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/GatewayMetrics.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/GatewayMetrics.java
@@ -13,6 +13,7 @@
     private final Counter requests;
     private final Counter retries;
     private final Counter retryAfters;
+    private final Counter withdrawn;
     private final Histogram firstByteMillis;
     private final Histogram predictionErrorMillis;
     private final Histogram waitedMillis;
@@ -22,6 +23,7 @@
         this.requests = registry.counter("gateway.requests");
         this.retries = registry.counter("gateway.repeats");
         this.retryAfters = registry.counter("upstream.retry_after");
+        this.withdrawn = registry.counter("gateway.withdrawn");
         this.firstByteMillis = histogram("gateway.first_byte.millis");
         this.predictionErrorMillis = histogram("gateway.prediction_error.millis");
         this.waitedMillis = histogram("gateway.waited.millis");
@@ -40,6 +42,11 @@
         retryAfters.inc();
     }
 
+    /** Counts an attempt that had not begun when the time of its upstream's weights was over. */
+    void withdrawn() {
+        withdrawn.inc();
+    }
+
     void ended(String outcome) {
         registry.counter("gateway.ended." + outcome).inc();
     }
