Withdraw only by ages that are known or that others had time to tell, and by the engine's latest record

Placement stays strict. - after a second without reports the version of the record captured at the placement counted, also where a later record or the report at the placement showed the newer one. - nodes may hear of a naming up to about a second late, more than the margin of half a second: it is 0.9 s now. - a withdrawal that fails no longer ends the checks; an event that only keeps the stream alive is no begin; versions of another model are not compared.

FleetFactsTest.requiresOfUnstartedRequestsOnlyWhatOthersHadTimeToTell, UnstartedAttemptsTest.goesOnAfterAWithdrawalThatFailed.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -220,6 +220,18 @@
         return namedVersions.newestNamedBefore(model, age, timers.nanoTime());
     }
 
+    /**
+     * Finds the newest version of a model that was named at least a given time ago. One that only may have been counts after
+     * a moment in which other nodes can tell its age.
+     *
+     * @param model the model's name
+     * @param age the minimum time since it was named
+     * @return the version number, or empty if there is none
+     */
+    public OptionalLong newestSurelyNamedBefore(String model, Duration age) {
+        return namedVersions.newestSurelyNamedBefore(model, age, timers.nanoTime());
+    }
+
     /**
      * Returns the ages of versions that are known, by what this node has witnessed and was told.
      *
--- a/galenahinge/src/main/java/org/galenahinge/facts/NamedVersions.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/NamedVersions.java
@@ -8,8 +8,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.galenahinge.upstream.NamedVersion;
 import org.galenahinge.upstream.VersionAges;
@@ -29,6 +31,9 @@
      */
     private static final Duration LONGEST_WITNESS_DELAY = Duration.ofMillis(1_500);
 
+    /** The time in which other nodes tell the age of a version that this node has read. */
+    private static final Duration TIME_TO_TELL_AGES = Duration.ofSeconds(1);
+
     private final Map<String, List<ReadVersion>> read = new HashMap<>();
     private final VersionAges ages = new VersionAges();
 
@@ -91,6 +96,22 @@
                 .max();
     }
 
+    /**
+     * Returns the newest version of a model that was named at least a given time ago, without those of unknown age that this node
+     * has just read: others may tell that they are younger.
+     */
+    OptionalLong newestSurelyNamedBefore(String model, Duration age, long nowNanos) {
+        Set<Long> justRead = readOf(model).stream()
+                .filter(known -> nowNanos - known.readNanos() < TIME_TO_TELL_AGES.toNanos())
+                .map(known -> known.weights().version())
+                .collect(Collectors.toSet());
+        return named(model, nowNanos)
+                .filter(version -> version.maximumAge().compareTo(age) >= 0)
+                .filter(version -> version.isAgeKnown() || !justRead.contains(version.version()))
+                .mapToLong(NamedVersion::version)
+                .max();
+    }
+
     /** Returns the known ages, by what this node has witnessed and was told. */
     VersionAges ages() {
         return ages;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -47,6 +47,7 @@
     private final double predictedMillis;
     private final OptionalLong exactVersion;
     private final long startedNanos;
+    private final long placedVersion;
     private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
     private final EventSplitter splitter = new EventSplitter(MAXIMUM_EVENT_BYTES);
     private Optional<HttpConnection> connection = Optional.empty();
@@ -81,6 +82,7 @@
         this.exactVersion = exactVersion;
         this.startedNanos = request.gateway().timers().nanoTime();
         this.lastProgressNanos = startedNanos;
+        this.placedVersion = believedVersion(candidate);
     }
 
     void start(Optional<HttpConnection> pooled) {
@@ -107,7 +109,7 @@
         if (isOutdated()) {
             pool.release(open);
             candidate.load().discard(this);
-            end(Outcome.NOT_SENT, "its connection opened after the time of the upstream's weights");
+            end(Outcome.NOT_SENT, "the weights of the upstream were outdated before its connection was open");
             return;
         }
         if (!request.tryCountAttempt()) {
@@ -229,7 +231,7 @@
         connection = Optional.empty();
         candidate.load().discard(this);
         request.gateway().metrics().withdrawn();
-        end(Outcome.UNKNOWN, "not begun in time on version " + required + " of the weights or a newer one");
+        end(Outcome.UNKNOWN, "no event was received before weights older than version " + required + " were outdated");
     }
 
     void resume() {
@@ -259,10 +261,11 @@
         return request.callerRequest().metadata().prompt().map(PromptShape::model);
     }
 
+    /** An engine goes back to older weights only by a restart, which ends its connections. */
     @Override
-    public long oldestPossibleVersion() {
-        long believed = candidate.weights(now()).map(WeightsVersion::version).orElse(0L);
-        return Math.max(believed, exactVersion.orElse(0L));
+    public long knownVersion() {
+        long reported = believedVersion(request.gateway().current(candidate));
+        return Math.max(reported, Math.max(placedVersion, exactVersion.orElse(0L)));
     }
 
     /** Returns how many events of its stream were passed on. */
@@ -284,10 +287,18 @@
         return (long) predictedMillis;
     }
 
-    /** Whether the upstream's weights were allowed when the request was placed, and are not any more. */
+    /** Whether the upstream's weights might be used when the request was placed, and may not be any more. */
     private boolean isOutdated() {
         OptionalLong minimum = model().map(request.gateway()::minimumVersion).orElse(OptionalLong.empty());
-        return oldestPossibleVersion() < minimum.orElse(0L);
+        return knownVersion() < minimum.orElse(0L);
+    }
+
+    /** Returns the version of the needed model that an upstream is believed to have, 0 for none. */
+    private long believedVersion(PlacementCandidate upstream) {
+        return upstream.weights(now())
+                .filter(weights -> model().filter(weights.model()::equals).isPresent())
+                .map(WeightsVersion::version)
+                .orElse(0L);
     }
 
     private DefaultHttpRequest head() {
@@ -441,8 +452,10 @@
             return;
         }
         lastProgressNanos = now();
-        if (events == 0) {
+        if (!EventIds.isBare(event)) {
             request.gateway().unstartedAttempts().remove(this);
+        }
+        if (events == 0) {
             recordFirstEvent();
         }
         events++;
@@ -620,6 +633,7 @@
                 request.gateway().timers().schedule(UNRESPONSIVE_TIMEOUT.dividedBy(2), this::checkUnresponsive));
     }
 
+    /** Ends all checks of the progress that the attempt makes. */
     private void stopChecks() {
         request.gateway().unstartedAttempts().remove(this);
         stallTimer.ifPresent(Timer::cancel);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -44,8 +44,8 @@
     /** How long before the end of a version's rollout time nothing more is placed on an older one. */
     private static final Duration PLACEMENT_MARGIN = Duration.ofMillis(1_500);
 
-    /** How long before that end requests that have not begun on an older version are withdrawn. */
-    private static final Duration WITHDRAWAL_MARGIN = Duration.ofMillis(500);
+    /** How long before that end requests that have not begun on an older one are withdrawn. Nodes may hear of it late. */
+    private static final Duration WITHDRAWAL_MARGIN = Duration.ofMillis(900);
 
     private final GatewaySettings settings;
     private final FleetFacts facts;
@@ -313,13 +313,21 @@
         return facts.newestNamedBefore(model, settings.versionRollout().minus(PLACEMENT_MARGIN));
     }
 
-    /** Returns the attempts at engines that have not begun. */
+    /** Returns the attempts that were sent to engines and have not begun. */
     UnstartedAttempts unstartedAttempts() {
         return unstartedAttempts;
     }
 
+    /** Returns a candidate with what is known of its incarnation now. */
+    PlacementCandidate current(PlacementCandidate placed) {
+        return upstreams
+                .candidate(placed.upstream().id())
+                .filter(known -> known.upstream().isSameIncarnation(placed.upstream()))
+                .orElse(placed);
+    }
+
     private OptionalLong versionRequiredToBegin(String model) {
-        return facts.newestNamedBefore(model, settings.versionRollout().minus(WITHDRAWAL_MARGIN));
+        return facts.newestSurelyNamedBefore(model, settings.versionRollout().minus(WITHDRAWAL_MARGIN));
     }
 
     /** Schedules a scan of the waiting requests, so that none waits past its maximum wait. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/UnstartedAttempts.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UnstartedAttempts.java
@@ -13,9 +13,9 @@
 import org.galenahinge.concurrent.Timers;
 
 /**
- * The attempts that were sent to engines and have not begun. An engine begins them on the weights that it has by then, however
- * long they lie in its socket or its queue, so an attempt is withdrawn before the time of these weights is over. Used by the
- * gateway's thread only.
+ * The attempts that were sent to engines and have brought no event yet. An engine begins them on the weights that it has by then,
+ * however long they lie in its socket or its queue, so those at engines with older weights are withdrawn before the rollout time of
+ * the newer ones ends. A response that is no stream shows its begin only with its head. Used by the gateway's thread only.
  */
 final class UnstartedAttempts {
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
@@ -30,8 +30,8 @@
         /** Returns the model whose weights it needs, empty for a request that needs none. */
         Optional<String> model();
 
-        /** Returns the oldest version on which it may begin, as far as this node knows; 0 if unknown. */
-        long oldestPossibleVersion();
+        /** Returns the newest version of the model that its upstream is known to have; 0 for none. */
+        long knownVersion();
 
         /** Ends the attempt so that its upstream drops it. */
         void withdraw(long required);
@@ -72,16 +72,17 @@
 
     private void check() {
         checkScheduled = false;
+        if (!attempts.isEmpty()) {
+            scheduleCheck();
+        }
         Map<String, OptionalLong> required = new HashMap<>();
         for (UnstartedAttempt attempt : List.copyOf(attempts)) {
             OptionalLong version = required.computeIfAbsent(attempt.model().orElseThrow(), requiredVersion);
-            if (attempts.contains(attempt) && attempt.oldestPossibleVersion() < version.orElse(0)) {
-                attempts.remove(attempt);
+            // A withdrawal before may have ended this attempt as well.
+            boolean isOutdated = attempt.knownVersion() < version.orElse(0);
+            if (isOutdated && attempts.remove(attempt)) {
                 attempt.withdraw(version.getAsLong());
             }
         }
-        if (!attempts.isEmpty()) {
-            scheduleCheck();
-        }
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -120,6 +120,20 @@
         assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(2));
     }
 
+    /** Guards against requests that are withdrawn in masses for a version that is as new as others are about to tell. */
+    @ParameterizedTest
+    @CsvSource({"true, 0, ", "true, 999, ", "true, 1000, 2", "false, 0, ", "false, 1000, "})
+    void requiresOfUnstartedRequestsOnlyWhatOthersHadTimeToTell(boolean untold, long sinceReadMillis, Long expected) {
+        facts.apply(List.of(item("up a 1", 1)));
+        facts.apply(List.of(item("named 2", 2)), Duration.ofSeconds(9));
+        if (!untold) {
+            facts.versionAgeTold(new AgedVersion(new WeightsVersion("m", 2), Duration.ofSeconds(2)));
+        }
+        timers.advance(Duration.ofMillis(sinceReadMillis));
+        OptionalLong required = expected == null ? OptionalLong.empty() : OptionalLong.of(expected);
+        assertThat(facts.newestSurelyNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(required);
+    }
+
     /** Guards against requests on a version that two later ones replaced, from a node that has read only the last. */
     @Test
     void requiresAVersionThatWasReplacedBeforeThisNodeReadIt() {
--- a/galenahinge/src/test/java/org/galenahinge/gateway/UnstartedAttemptsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/UnstartedAttemptsTest.java
@@ -1,6 +1,7 @@
 package org.galenahinge.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,7 +26,7 @@
             timers, model -> required.containsKey(model) ? OptionalLong.of(required.get(model)) : OptionalLong.empty());
 
     /** An attempt whose engine has a version of the weights that a test may change. */
-    private final class EngineAttempt implements UnstartedAttempt {
+    private class EngineAttempt implements UnstartedAttempt {
         private final Optional<String> model;
         private long version;
 
@@ -40,7 +41,7 @@
         }
 
         @Override
-        public long oldestPossibleVersion() {
+        public long knownVersion() {
             return version;
         }
 
@@ -78,6 +79,23 @@
         assertThat(withdrawn).isEmpty();
     }
 
+    /** Guards against attempts that are never withdrawn after one whose withdrawal failed. */
+    @Test
+    void goesOnAfterAWithdrawalThatFailed() {
+        attempts.add(new EngineAttempt(Optional.of("m"), 1) {
+            @Override
+            public void withdraw(long requiredVersion) {
+                throw new IllegalStateException("not withdrawn");
+            }
+        });
+        EngineAttempt next = new EngineAttempt(Optional.of("m"), 1);
+        attempts.add(next);
+        required.put("m", 2L);
+        assertThatIllegalStateException().isThrownBy(() -> timers.advance(WITHIN));
+        timers.advance(WITHIN);
+        assertThat(withdrawn).containsExactly(next);
+    }
+
     @Test
     void withdrawsEachAttemptOnce() {
         attempts.add(new EngineAttempt(Optional.of("m"), 1));
