A version that another node retained over a restored store is not new

An entry that did not hold a version would allow the one before for the whole rollout time again.

Cause: what a read brought promptly counted as named at that moment, also where a peer had held it: retained over an older copy of the store, or not aware yet that the store was restored. If no other node knew the age, this entry then told all others that it is new.

Evidence: FactSynchronizerTest.doesNotWitnessWhatAnotherNodeHeldBefore failed on the code as it stood (2 of 2: age 0).

Change: an item that is retained, of an earlier epoch, or not after the position held as complete has an unknown age. What is written after a restore is still witnessed by nodes that ran through it (witnessesWhatIsNewRightAfterARestoreThatItRanThrough, 6 cases, which passed before as well).

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -25,6 +25,9 @@
     /** Added to {@link #STALE_AFTER} for nodes that are no relays, so that one read of the store can serve them all. */
     public static final Duration NON_RELAY_DELAY = Duration.ofMillis(250);
 
+    /** Stands for the age of items that may have been published at any time before. */
+    public static final Duration AGE_UNKNOWN = Duration.ofDays(1);
+
     private static final Duration STORE_WAIT = Duration.ofMillis(800);
     private static final Duration PEER_WAIT = Duration.ofSeconds(1);
     private static final Duration RESPONSE_TIME = Duration.ofMillis(350);
@@ -86,10 +89,12 @@
     @FunctionalInterface
     public interface Listener {
         /**
-         * Called after each successful read with the items that are new to this node.
+         * Called after each successful read with the items that are new to this node, and once more if those that it has not
+         * witnessed are among others.
          *
          * @param items the items ordered by revision, possibly none
-         * @param maximumAge the maximum time since their publication if reading had been interrupted, zero otherwise
+         * @param maximumAge the maximum time since their publication if reading had been interrupted, {@link #AGE_UNKNOWN} if
+         *     they may have been published at any time before, zero otherwise
          */
         void itemsChanged(List<FactItem> items, Duration maximumAge);
     }
@@ -362,7 +367,7 @@
             return;
         }
         updateStaleness();
-        publish(changes, maximumAge);
+        publish(changes, before, maximumAge);
     }
 
     /**
@@ -443,12 +448,29 @@
                 .with("age_ms", age().toMillis())
                 .write();
         updateStaleness();
-        publish(facts.present(), Duration.ZERO);
+        publish(facts.present(), facts.position(), AGE_UNKNOWN);
+    }
+
+    private void publish(List<FactItem> items, StorePosition completeBefore, Duration maximumAge) {
+        List<FactItem> held = items.stream()
+                .filter(item -> wasHeldBefore(item, completeBefore))
+                .toList();
+        List<FactItem> published = items.stream()
+                .filter(item -> !wasHeldBefore(item, completeBefore))
+                .toList();
+        if (!held.isEmpty()) {
+            runGuarded(() -> listener.itemsChanged(held, AGE_UNKNOWN));
+        }
+        runGuarded(() -> listener.itemsChanged(published, maximumAge));
+        runGuarded(refreshed);
     }
 
-    private void publish(List<FactItem> items, Duration maximumAge) {
-        runGuarded(() -> listener.itemsChanged(items, maximumAge));
-        runGuarded(refreshed);
+    /**
+     * Tells whether another node held an item while this one took its facts for complete. The store was restored from a copy
+     * without it then, and when it was published is not known.
+     */
+    private static boolean wasHeldBefore(FactItem item, StorePosition completeBefore) {
+        return item.isRetained() || item.position().compareTo(completeBefore) <= 0;
     }
 
     /** Runs a listener; one that fails must not end the reading, nor keep the others from running. */
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -39,9 +39,6 @@
     /** How long after the store has recovered an expired or lost upstream record may still be written again. */
     public static final Duration EXPIRED_RECORD_GRACE = Duration.ofSeconds(2);
 
-    /** What a node finds when it starts may have been published at any time before. */
-    private static final Duration AGE_BEFORE_START = Duration.ofDays(1);
-
     private static final Duration LOGGED_CORRECTION = Duration.ofMillis(250);
 
     private final FactDecoder decoder;
@@ -101,11 +98,11 @@
      * Applies items.
      *
      * @param items the items that are new to this node, ordered by revision
-     * @param maximumAge the maximum time since their publication
+     * @param maximumAge the maximum time since their publication, {@link FactSynchronizer#AGE_UNKNOWN} if it is not known
      */
     public void apply(List<FactItem> items, Duration maximumAge) {
         for (FactItem item : items) {
-            apply(item, decode(item), itemsReceived ? maximumAge : AGE_BEFORE_START);
+            apply(item, decode(item), itemsReceived ? maximumAge : FactSynchronizer.AGE_UNKNOWN);
         }
         if (!items.isEmpty()) {
             itemsReceived = true;
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -251,6 +251,43 @@
         assertThat(agesByKey.get("change")).isGreaterThanOrEqualTo(Duration.ofMillis(stillMillis));
     }
 
+    /**
+     * Guards against a version that is taken for new because a peer retained it over a restored store, or has not noticed
+     * that the store was restored.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doesNotWitnessWhatAnotherNodeHeldBefore(boolean isRetained) {
+        store.epoch = 2;
+        peer.epoch = 2;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(8));
+        if (isRetained) {
+            peer.retain("version");
+        } else {
+            peer.epoch = 1;
+            peer.publishVersion("version");
+        }
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(agesByKey).containsEntry("version", FactSynchronizer.AGE_UNKNOWN);
+    }
+
+    /** Guards against refusing the version before at once, because nobody witnesses one that is named right after a restore. */
+    @ParameterizedTest
+    @CsvSource({"true, 0", "true, 300", "true, 2000", "false, 0", "false, 300", "false, 2000"})
+    void witnessesWhatIsNewRightAfterARestoreThatItRanThrough(boolean isWatcher, long sinceRestoreMillis) {
+        watcher = isWatcher;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(3));
+        store.restore();
+        peer.restore();
+        timers.advance(Duration.ofMillis(sinceRestoreMillis));
+        store.publish("version");
+        peer.publish("version");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(agesByKey).containsEntry("version", Duration.ZERO);
+    }
+
     /** Guards against a node that follows no changes any more because it failed on one, or on the first ones. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -341,11 +378,24 @@
             items.add(FactItem.written(key, new byte[0], new StorePosition(epoch, ++revision)));
         }
 
+        void publishVersion(String key) {
+            FactItem item = FactItem.written(key, new byte[0], new StorePosition(epoch, ++revision));
+            items.add(item.withRank(FactRank.ofVersion(2)));
+        }
+
         void remove(String key) {
             items.removeIf(item -> item.key().equals(key));
             items.add(FactItem.removed(key, new StorePosition(epoch, ++revision)));
         }
 
+        /** Holds a version over a store that was restored from a copy without it. */
+        void retain(String key) {
+            StorePosition position = new StorePosition(epoch, ++revision);
+            items.add(FactItem.written(key, new byte[0], position)
+                    .withRank(FactRank.ofVersion(2))
+                    .retainedAt(position));
+        }
+
         /** Goes back to the empty store that it was at the start. */
         void restore() {
             epoch++;
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -157,6 +157,18 @@
                 .containsExactly(new AgedVersion(new WeightsVersion("m", 4), Duration.ZERO));
     }
 
+    /** Guards against an old version that is allowed again, here or elsewhere, after a version whose age is not known. */
+    @Test
+    void requiresAVersionOfUnknownAgeUntilItsAgeIsTold() {
+        facts.apply(List.of(item("up a 1", 1), item("named 1", 2)));
+        facts.apply(List.of(item("named 2", 3)), FactSynchronizer.AGE_UNKNOWN);
+        assertThat(facts.versionAges().all(timers.nanoTime())).isEmpty();
+        assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(2));
+
+        facts.versionAgeTold(new AgedVersion(new WeightsVersion("m", 2), Duration.ofSeconds(2)));
+        assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(1));
+    }
+
     /**
      * The age of a version received after an interruption counts from the earliest time at which it may have been
      * named.
