A node that no other node has answered yet does not witness namings

An entry that started on an older copy of the store would allow the version before for the whole rollout time again.

Cause: an entry that starts relies on the store after 0.7 s without an answer of a peer, and from then on took what it read for new: what a peer delivers a moment later, or what the operator writes again since the store lost it.

Evidence: FactSynchronizerTest.doesNotWitnessWhatItFindsBeforeAnotherNodeHasResponded failed on the code as it stood (2 of 2: age 0).

Change: until another node has answered, or for the 5 s in which one is asked, what such a node finds has an unknown age. With no other node in sight it witnesses as before, and afterwards in any case (witnessesOnceItNoLongerExpectsAnotherNodeToRespond).

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -342,6 +342,7 @@
         if (restored) {
             onStoreRestored(source, before);
         }
+        boolean mayKnowLess = mayKnowLessThanOthers();
         recordSource(state, result);
         if (!loaded) {
             log.event(Category.LIFECYCLE, "facts_read")
@@ -351,7 +352,7 @@
                     .with("age_ms", result.age().toMillis())
                     .write();
         }
-        Duration maximumAge = loaded && isOutdated() ? age() : Duration.ZERO;
+        Duration maximumAge = mayKnowLess ? AGE_UNKNOWN : timeOfInterruption();
         boolean storeWasUnavailable = age().compareTo(STORE_OUTAGE_AFTER) > 0;
         long asOf = earliestResponseNanos(state) - result.age().toNanos();
         if (asOf - factsAsOfNanos > 0) {
@@ -381,6 +382,18 @@
         return mayHaveStoodStill ? state.readNanos : now;
     }
 
+    /**
+     * Tells whether this node may have started on an older copy of the store, so that what it lacks is new to it alone: no other
+     * node has responded, and one may still do so.
+     */
+    private boolean mayKnowLessThanOthers() {
+        return !peerAnswered && peers.peer(0).isPresent() && timers.nanoTime() - comparePeersUntilNanos < 0;
+    }
+
+    private Duration timeOfInterruption() {
+        return loaded && isOutdated() ? age() : Duration.ZERO;
+    }
+
     private boolean isOutdated() {
         return age().compareTo(staleAfter()) > 0;
     }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -272,6 +272,29 @@
         assertThat(agesByKey).containsEntry("version", FactSynchronizer.AGE_UNKNOWN);
     }
 
+    /**
+     * Guards against a version that is taken for new by a node that started on an older copy of the store, as soon as another
+     * node delivers the version or the operator writes it again.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doesNotWitnessWhatItFindsBeforeAnotherNodeHasResponded(boolean isReadFromPeer) {
+        peer.unresponsive = true;
+        store.publish("other");
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(synchronizer.isLoaded()).isTrue();
+        if (isReadFromPeer) {
+            peer.publish("other");
+            peer.publish("version");
+            peer.unresponsive = false;
+        } else {
+            store.publish("version");
+        }
+        timers.advance(Duration.ofMillis(1_500));
+        assertThat(agesByKey).containsEntry("version", FactSynchronizer.AGE_UNKNOWN);
+    }
+
     /** Guards against refusing the version before at once, because nobody witnesses one that is named right after a restore. */
     @ParameterizedTest
     @CsvSource({"true, 0", "true, 300", "true, 2000", "false, 0", "false, 300", "false, 2000"})
@@ -288,6 +311,19 @@
         assertThat(agesByKey).containsEntry("version", Duration.ZERO);
     }
 
+    /** Guards against a node that never witnesses a version because it has found no other node since its start. */
+    @Test
+    void witnessesOnceItNoLongerExpectsAnotherNodeToRespond() {
+        watcher = true;
+        peer.unresponsive = true;
+        store.publish("other");
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(7));
+        store.publish("version");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(agesByKey).containsEntry("version", Duration.ZERO);
+    }
+
     /** Guards against a node that follows no changes any more because it failed on one, or on the first ones. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
