What was published while the VM was suspended is not new

An entry whose VM was suspended around a naming would allow the version before for as much longer, until others told it the age.

Cause: the monotonic clock does not count a suspension. The facts seemed as fresh as before it, a response that had waited in the socket seemed prompt, and what came with it, or with the next read, counted as named at that moment.

Evidence: FactSynchronizerTest.doesNotWitnessWhatWasPublishedWhileItWasSuspended failed on the code before (4 of 4: age 0; suspended for 4 and 0.6 s, watcher and not).

Change: where the time of day and the monotonic clock disagree by more than 250 ms since a read began, or since the last one that succeeded, what is read has an unknown age, and a response counts from the start of its read. A clock that was set has the same effect, on what is read in that moment only; the node tells others nothing of it.

--- a/galenahinge/src/main/java/org/galenahinge/concurrent/Moment.java
+++ b/galenahinge/src/main/java/org/galenahinge/concurrent/Moment.java
@@ -12,6 +12,9 @@
  * @param timeOfDay the time of day
  */
 public record Moment(long nanos, Instant timeOfDay) {
+    /** Clocks that differ by no more than this since an earlier moment agree: they run at slightly different rates. */
+    private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(250);
+
     /**
      * Creates a moment.
      *
@@ -46,4 +49,25 @@
                 && !byTimeOfDay.isNegative()
                 && byTimeOfDay.compareTo(limit) <= 0;
     }
+
+    /**
+     * Returns the time since an earlier moment that the monotonic clock has not counted: the VM was suspended for it, or the
+     * time of day was set forward.
+     *
+     * @param earlier the earlier moment of the same process
+     * @return the time, negative if the time of day was set back
+     */
+    public Duration uncountedSince(Moment earlier) {
+        return Duration.between(earlier.timeOfDay, timeOfDay).minusNanos(nanos - earlier.nanos);
+    }
+
+    /**
+     * Tells whether both clocks have counted the same time since an earlier moment, so that the VM was not suspended.
+     *
+     * @param earlier the earlier moment of the same process
+     * @return whether they differ by no more than a tolerance
+     */
+    public boolean clocksAgreeSince(Moment earlier) {
+        return uncountedSince(earlier).abs().compareTo(CLOCK_TOLERANCE) <= 0;
+    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -1,12 +1,14 @@
 package org.galenahinge.facts;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.galenahinge.concurrent.Moment;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
@@ -75,6 +77,7 @@
     private boolean loaded;
     private boolean stale = true;
     private long factsAsOfNanos;
+    private Moment responded;
     private long staleJitterNanos;
     private long fallbackUntilNanos;
     private Optional<FactSource> preferredPeer = Optional.empty();
@@ -134,6 +137,7 @@
         this.log = log;
         this.random = new Random(seed);
         this.factsAsOfNanos = timers.nanoTime();
+        this.responded = Moment.now(timers);
         this.fallbackUntilNanos = factsAsOfNanos;
         this.comparePeersUntilNanos = factsAsOfNanos;
     }
@@ -270,7 +274,7 @@
             return;
         }
         state.busy = true;
-        state.readNanos = timers.nanoTime();
+        state.read = Moment.now(timers);
         read(source.get(), cursor(state), state.wait).whenComplete((result, error) -> {
             state.busy = false;
             Throwable failure = error != null ? error : rejection(state, result).orElse(null);
@@ -352,9 +356,14 @@
                     .with("age_ms", result.age().toMillis())
                     .write();
         }
-        Duration maximumAge = mayKnowLess ? AGE_UNKNOWN : timeOfInterruption();
+        boolean mayBeAnyAge = mayKnowLess || mayHaveBeenSuspended(state);
+        Duration maximumAge = mayBeAnyAge ? AGE_UNKNOWN : timeOfInterruption();
         boolean storeWasUnavailable = age().compareTo(STORE_OUTAGE_AFTER) > 0;
-        long asOf = earliestResponseNanos(state) - result.age().toNanos();
+        Moment sent = earliestResponse(state);
+        if (sent.nanos() - responded.nanos() > 0) {
+            responded = sent;
+        }
+        long asOf = sent.nanos() - result.age().toNanos();
         if (asOf - factsAsOfNanos > 0) {
             factsAsOfNanos = asOf;
         }
@@ -375,11 +384,21 @@
      * Returns when the response to a read was sent, at the earliest. If the read took longer than its source waits and a
      * response travels, this node may have stood still meanwhile, and the response may have been sent right at its start.
      */
-    private long earliestResponseNanos(SourceState state) {
-        long now = timers.nanoTime();
-        Duration taken = Duration.ofNanos(now - state.readNanos);
-        boolean mayHaveStoodStill = taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0;
-        return mayHaveStoodStill ? state.readNanos : now;
+    private Moment earliestResponse(SourceState state) {
+        Moment now = Moment.now(timers);
+        Duration taken = Duration.ofNanos(now.nanos() - state.read.nanos());
+        boolean mayHaveStoodStill =
+                taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0 || !now.clocksAgreeSince(state.read);
+        return mayHaveStoodStill ? state.read : now;
+    }
+
+    /**
+     * Tells whether the VM may have been suspended since this read began, or since the last one that succeeded: the monotonic
+     * clock may not have counted that time.
+     */
+    private boolean mayHaveBeenSuspended(SourceState state) {
+        Moment now = Moment.now(timers);
+        return !now.clocksAgreeSince(state.read) || !now.clocksAgreeSince(responded);
     }
 
     /**
@@ -557,7 +576,7 @@
         private boolean historyGone;
         private int failures;
         private long notBeforeNanos;
-        private long readNanos;
+        private Moment read = new Moment(0, Instant.EPOCH);
 
         SourceState(Duration wait, boolean store) {
             this.wait = wait;
--- a/galenahinge/src/test/java/org/galenahinge/concurrent/MomentTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/concurrent/MomentTest.java
@@ -26,4 +26,14 @@
                 earlier.nanos() + Duration.ofMillis(monotonicMillis).toNanos(), Instant.ofEpochMilli(timeOfDayMillis));
         assertThat(later.isWithin(LIMIT, earlier)).isEqualTo(within);
     }
+
+    @ParameterizedTest(name = "{0} ms by the monotonic clock, {1} ms by the time of day")
+    @CsvSource({"1000, 1000, true", "1000, 1250, true", "1000, 1251, false", "1000, 749, false", "0, 4000, false"})
+    void clocksAgreeWithinATolerance(long monotonicMillis, long timeOfDayMillis, boolean agree) {
+        Moment earlier = new Moment(Long.MAX_VALUE - 1, Instant.EPOCH);
+        Moment later = new Moment(
+                earlier.nanos() + Duration.ofMillis(monotonicMillis).toNanos(), Instant.ofEpochMilli(timeOfDayMillis));
+        assertThat(later.clocksAgreeSince(earlier)).isEqualTo(agree);
+        assertThat(later.uncountedSince(earlier)).isEqualTo(Duration.ofMillis(timeOfDayMillis - monotonicMillis));
+    }
 }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -251,6 +251,25 @@
         assertThat(agesByKey.get("change")).isGreaterThanOrEqualTo(Duration.ofMillis(stillMillis));
     }
 
+    /**
+     * Guards against a change being taken for new by a node whose VM was suspended while it was published: the monotonic clock
+     * did not count that time.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 4000", "false, 4000", "true, 600", "false, 600"})
+    void doesNotWitnessWhatWasPublishedWhileItWasSuspended(boolean isWatcher, long suspendedMillis) {
+        watcher = isWatcher;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(8));
+        timers.stepTimeOfDay(Duration.ofMillis(suspendedMillis));
+        (isWatcher ? store : peer).publish("change");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(agesByKey).containsEntry("change", FactSynchronizer.AGE_UNKNOWN);
+        (isWatcher ? store : peer).publish("later");
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(agesByKey).containsEntry("later", Duration.ZERO);
+    }
+
     /**
      * Guards against a version that is taken for new because a peer retained it over a restored store, or has not noticed
      * that the store was restored.
