An entry counts the time for which its VM was suspended within a rollout

An entry whose VM was suspended for 4 s within a rollout places requests on the old version when it runs again, though it must not from 6.5 s after the naming on.

Cause: ages of versions count by the monotonic clock, which stands still with the VM.

Evidence: VersionGossipTest.anEntryThatWasSuspendedCountsFromTheNaming failed on the code before (6 of 6, at the moment of running again), as did 2 of 4 cases of FleetFactsTest.countsATimeInWhichItsVmMayHaveBeenSuspended (the other two are the cases that must not change) and forgetsATimeOfSuspensionOnceOthersHaveToldTheAge.

Change: SuspensionWatch compares both clocks whenever facts are read, gossip arrives or a request is placed. For a second after they disagree, ages of what was named before count the difference as well, in this entry only: others are not told, since the time of day may have been set. By then gossip has told the age.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.galenahinge.catalog.Catalog;
+import org.galenahinge.concurrent.SuspensionWatch;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
@@ -39,6 +40,9 @@
     /** How long after the store has recovered an expired or lost upstream record may still be written again. */
     public static final Duration EXPIRED_RECORD_GRACE = Duration.ofSeconds(2);
 
+    /** How long ages count a time in which the VM may have been suspended: others have told them by then. */
+    private static final Duration SUSPENSION_RETENTION = Duration.ofSeconds(1);
+
     private static final Duration LOGGED_CORRECTION = Duration.ofMillis(250);
 
     private final FactDecoder decoder;
@@ -49,6 +53,7 @@
     private final Map<Source, Long> leavingCounts = new EnumMap<>(Source.class);
     private final Map<String, Long> expiredInGrace = new HashMap<>();
     private final NamedVersions namedVersions = new NamedVersions();
+    private final SuspensionWatch suspension;
     private Optional<Catalog> catalog = Optional.empty();
     private Runnable changed = () -> {};
     private long graceUntilNanos;
@@ -59,6 +64,7 @@
         this.decoder = decoder;
         this.timers = timers;
         this.log = log;
+        this.suspension = SuspensionWatch.create(timers, SUSPENSION_RETENTION);
     }
 
     /**
@@ -101,6 +107,7 @@
      * @param maximumAge the maximum time since their publication, {@link FactSynchronizer#AGE_UNKNOWN} if it is not known
      */
     public void apply(List<FactItem> items, Duration maximumAge) {
+        suspension.observe();
         for (FactItem item : items) {
             apply(item, decode(item), itemsReceived ? maximumAge : FactSynchronizer.AGE_UNKNOWN);
         }
@@ -207,14 +214,16 @@
     }
 
     /**
-     * Finds the newest version of a model that was named at least a given time ago, or may have been.
+     * Finds the newest version of a model that was named at least a given time ago, or may have been, also if the VM was
+     * suspended a moment ago.
      *
      * @param model the model's name
      * @param age the minimum time since it was named
      * @return the version number, or empty if there is none
      */
     public OptionalLong newestNamedBefore(String model, Duration age) {
-        return namedVersions.newestNamedBefore(model, age, timers.nanoTime());
+        suspension.observe();
+        return namedVersions.newestNamedBefore(model, age, suspension::longestAge, timers.nanoTime());
     }
 
     /**
@@ -233,6 +242,7 @@
      * @param told the version and its age
      */
     public void versionAgeTold(AgedVersion told) {
+        suspension.observe();
         long now = timers.nanoTime();
         Optional<Duration> before = versionAges().age(told.weights(), now);
         versionAges().add(told, now);
--- a/galenahinge/src/main/java/org/galenahinge/facts/NamedVersions.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/NamedVersions.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.galenahinge.upstream.NamedVersion;
 import org.galenahinge.upstream.VersionAges;
@@ -83,10 +84,18 @@
         return List.copyOf(byVersion.values());
     }
 
-    /** Returns the newest version of a model that was named at least a given time ago. */
-    OptionalLong newestNamedBefore(String model, Duration age, long nowNanos) {
+    /**
+     * Returns the newest version of a model that was named at least a given time ago.
+     *
+     * @param model the model's name
+     * @param age the minimum time since it was named
+     * @param longestAge corrects an age by the monotonic clock, which may not have counted all time
+     * @param nowNanos the time, in nanoseconds
+     * @return the version number, or empty if there is none
+     */
+    OptionalLong newestNamedBefore(String model, Duration age, UnaryOperator<Duration> longestAge, long nowNanos) {
         return named(model, nowNanos)
-                .filter(version -> version.maximumAge().compareTo(age) >= 0)
+                .filter(version -> longestAge.apply(version.maximumAge()).compareTo(age) >= 0)
                 .mapToLong(NamedVersion::version)
                 .max();
     }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -157,6 +157,39 @@
                 .containsExactly(new AgedVersion(new WeightsVersion("m", 4), Duration.ZERO));
     }
 
+    /**
+     * Guards against requests on an old version from an entry whose VM was suspended within the rollout, before others have
+     * corrected the ages that it holds. It must not tell others an age that counts the suspension, which may be a clock that was
+     * set forward.
+     */
+    @ParameterizedTest
+    @CsvSource({"3000, 4000, true", "6000, 1000, true", "3000, 3900, false", "6000, -4000, false"})
+    void countsATimeInWhichItsVmMayHaveBeenSuspended(long beforeMillis, long stepMillis, boolean isRequired) {
+        facts.apply(List.of(item("up a 1", 1), item("named 1", 2)));
+        facts.apply(List.of(item("named 2", 3)));
+        timers.advance(Duration.ofMillis(beforeMillis));
+        facts.apply(List.of());
+        timers.stepTimeOfDay(Duration.ofMillis(stepMillis));
+        OptionalLong expected = OptionalLong.of(isRequired ? 2 : 1);
+        assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(expected);
+        assertThat(facts.versionAges().age(new WeightsVersion("m", 2), timers.nanoTime()))
+                .contains(Duration.ofMillis(beforeMillis));
+    }
+
+    /** Guards against refusing an old version for long, or one that a later version replaces, since the clock was set forward. */
+    @Test
+    void forgetsATimeOfSuspensionOnceOthersHaveToldTheAge() {
+        facts.apply(List.of(item("up a 1", 1), item("named 1", 2)));
+        facts.apply(List.of(item("named 2", 3)));
+        timers.stepTimeOfDay(Duration.ofSeconds(30));
+        assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(2));
+        timers.advance(Duration.ofMillis(100));
+        facts.apply(List.of(item("named 3", 4)));
+        assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(2));
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(facts.newestNamedBefore("m", Duration.ofSeconds(7))).isEqualTo(OptionalLong.of(1));
+    }
+
     /** Guards against an old version that is allowed again, here or elsewhere, after a version whose age is not known. */
     @Test
     void requiresAVersionOfUnknownAgeUntilItsAgeIsTold() {
--- a/galenahinge/src/test/java/org/galenahinge/node/VersionGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/VersionGossipTest.java
@@ -5,10 +5,12 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.galenahinge.concurrent.ManualTimers;
+import org.galenahinge.concurrent.Timers;
 import org.galenahinge.facts.Fact;
 import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FleetFacts;
@@ -23,6 +25,7 @@
     private static final Duration ROLLOUT = Duration.ofSeconds(8);
     private static final Duration REQUIRED_AFTER = Duration.ofMillis(6_500);
     private static final Duration TOLERANCE = Duration.ofMillis(300);
+    private static final Duration SUSPENSION = Duration.ofSeconds(4);
     private static final WeightsVersion NEW = new WeightsVersion("m", 2);
 
     private final ManualTimers timers = new ManualTimers();
@@ -61,6 +64,33 @@
         assertThat(entries).allMatch(Entry::isRequired);
     }
 
+    /**
+     * Guards against an entry whose VM was suspended within the rollout, so that its monotonic clock lags, and that allows the
+     * old version for longer than the others: neither when it runs again, nor once it relies on what others tell it.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "7, 2", "20, 3", "49, 4", "150, 5", "570, 6"})
+    void anEntryThatWasSuspendedCountsFromTheNaming(int entryCount, long seed) {
+        GossipFleet fleet = new GossipFleet(entryCount, timers, new Random(seed));
+        List<Entry> entries = fleet.members().stream().map(Entry::new).toList();
+        Entry suspended = entries.get(0);
+        SuspendedTimers lagging = new SuspendedTimers();
+        entries.stream().skip(1).forEach(Entry::start);
+        suspended.start(lagging);
+        timers.advance(Duration.ofSeconds(3));
+        namedNanos = timers.nanoTime();
+        entries.forEach(Entry::readNewVersion);
+        advanceTo(Duration.ofSeconds(3));
+        suspended.member.cutFor(SUSPENSION);
+        suspended.isRequired();
+        advanceTo(Duration.ofSeconds(3).plus(SUSPENSION));
+        lagging.lag = SUSPENSION;
+        for (int step = 0; step < 40; step++) {
+            assertThat(suspended.isRequired()).as("after %s steps", step).isTrue();
+            timers.advance(Duration.ofMillis(50));
+        }
+    }
+
     private void advanceTo(Duration sinceNaming) {
         timers.advance(Duration.ofNanos(namedNanos + sinceNaming.toNanos() - timers.nanoTime()));
     }
@@ -69,6 +99,26 @@
         return item.key().equals("other") ? new Fact.Unreadable("other", "") : new Fact.VersionNamed(NEW);
     }
 
+    /** Timers of a VM that was suspended: their monotonic clock lags by that time, the time of day does not. */
+    private final class SuspendedTimers implements Timers {
+        private Duration lag = Duration.ZERO;
+
+        @Override
+        public long nanoTime() {
+            return timers.nanoTime() - lag.toNanos();
+        }
+
+        @Override
+        public Instant timeOfDay() {
+            return timers.timeOfDay();
+        }
+
+        @Override
+        public Timer schedule(Duration delay, Runnable action) {
+            return timers.schedule(delay, action);
+        }
+    }
+
     private final class Entry {
         private final GossipFleet.Member member;
         private FleetFacts facts;
@@ -80,7 +130,11 @@
 
         /** Starts the entry; the first time the version is not named yet, later it is among the first items. */
         void start() {
-            facts = FleetFacts.create(VersionGossipTest.this::decode, timers, log);
+            start(timers);
+        }
+
+        void start(Timers ownTimers) {
+            facts = FleetFacts.create(VersionGossipTest.this::decode, ownTimers, log);
             if (!started) {
                 facts.apply(List.of(item("other")));
             }
