--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -226,6 +226,27 @@
         assertThat(engine.loaded).contains(2L);
     }
 
+    /**
+     * Guards against an engine that loads late by the time for which its VM was suspended: an entry that tells the age, with the
+     * target or without, brings the load forward.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void loadsInTimeAfterASuspensionOnceAnEntryTellsTheAge(boolean withTarget) {
+        engine.loadedVersion = 1;
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ZERO));
+        report(Duration.ofSeconds(2));
+        timers.stepTimeOfDay(Duration.ofSeconds(4));
+        LoadSchedule told = scheduleOf(2, Duration.ofSeconds(6));
+        if (withTarget) {
+            controller.setTarget(digests(2), told);
+        } else {
+            controller.updateSchedule(told);
+        }
+        report(Duration.ofSeconds(1));
+        assertThat(engine.loaded).containsExactly(2L);
+    }
+
     /** An entry that does not know how old a version is does not make an engine wait, nor does the engine tell others. */
     @Test
     void loadsAtOnceWhileNobodyHasToldTheAge() {
