--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -1,12 +1,14 @@
 package org.galenahinge.facts;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.galenahinge.concurrent.Moment;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
@@ -25,6 +27,9 @@
     /** Added to {@link #STALE_AFTER} for nodes that are no relays, so that one read of the store can serve them all. */
     public static final Duration NON_RELAY_DELAY = Duration.ofMillis(250);
 
+    /** Stands for the age of items that may have been published at any time before. */
+    public static final Duration AGE_UNKNOWN = Duration.ofDays(1);
+
     private static final Duration STORE_WAIT = Duration.ofMillis(800);
     private static final Duration PEER_WAIT = Duration.ofSeconds(1);
     private static final Duration RESPONSE_TIME = Duration.ofMillis(350);
@@ -72,6 +77,7 @@
     private boolean loaded;
     private boolean stale = true;
     private long factsAsOfNanos;
+    private Moment responded;
     private long staleJitterNanos;
     private long fallbackUntilNanos;
     private Optional<FactSource> preferredPeer = Optional.empty();
@@ -86,10 +92,12 @@
     @FunctionalInterface
     public interface Listener {
         /**
-         * Called after each successful read with the items that are new to this node.
+         * Called after each successful read with the items that are new to this node, and once more if those that it has not
+         * witnessed are among others.
          *
          * @param items the items ordered by revision, possibly none
-         * @param maximumAge the maximum time since their publication if reading had been interrupted, zero otherwise
+         * @param maximumAge the maximum time since their publication if reading had been interrupted, {@link #AGE_UNKNOWN} if
+         *     they may have been published at any time before, zero otherwise
          */
         void itemsChanged(List<FactItem> items, Duration maximumAge);
     }
@@ -129,6 +137,7 @@
         this.log = log;
         this.random = new Random(seed);
         this.factsAsOfNanos = timers.nanoTime();
+        this.responded = Moment.now(timers);
         this.fallbackUntilNanos = factsAsOfNanos;
         this.comparePeersUntilNanos = factsAsOfNanos;
     }
@@ -265,7 +274,7 @@
             return;
         }
         state.busy = true;
-        state.readNanos = timers.nanoTime();
+        state.read = Moment.now(timers);
         read(source.get(), cursor(state), state.wait).whenComplete((result, error) -> {
             state.busy = false;
             Throwable failure = error != null ? error : rejection(state, result).orElse(null);
@@ -337,6 +346,7 @@
         if (restored) {
             onStoreRestored(source, before);
         }
+        boolean mayKnowLess = mayKnowLessThanOthers();
         recordSource(state, result);
         if (!loaded) {
             log.event(Category.LIFECYCLE, "facts_read")
@@ -346,9 +356,14 @@
                     .with("age_ms", result.age().toMillis())
                     .write();
         }
-        Duration maximumAge = loaded && isOutdated() ? age() : Duration.ZERO;
+        boolean mayBeAnyAge = mayKnowLess || mayHaveBeenSuspended(state);
+        Duration maximumAge = mayBeAnyAge ? AGE_UNKNOWN : timeOfInterruption();
         boolean storeWasUnavailable = age().compareTo(STORE_OUTAGE_AFTER) > 0;
-        long asOf = earliestResponseNanos(state) - result.age().toNanos();
+        Moment sent = earliestResponse(state);
+        if (sent.nanos() - responded.nanos() > 0) {
+            responded = sent;
+        }
+        long asOf = sent.nanos() - result.age().toNanos();
         if (asOf - factsAsOfNanos > 0) {
             factsAsOfNanos = asOf;
         }
@@ -362,18 +377,40 @@
             return;
         }
         updateStaleness();
-        publish(changes, maximumAge);
+        publish(changes, before, maximumAge);
     }
 
     /**
      * Returns when the response to a read was sent, at the earliest. If the read took longer than its source waits and a
      * response travels, this node may have stood still meanwhile, and the response may have been sent right at its start.
      */
-    private long earliestResponseNanos(SourceState state) {
-        long now = timers.nanoTime();
-        Duration taken = Duration.ofNanos(now - state.readNanos);
-        boolean mayHaveStoodStill = taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0;
-        return mayHaveStoodStill ? state.readNanos : now;
+    private Moment earliestResponse(SourceState state) {
+        Moment now = Moment.now(timers);
+        Duration taken = Duration.ofNanos(now.nanos() - state.read.nanos());
+        boolean mayHaveStoodStill =
+                taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0 || !now.clocksAgreeSince(state.read);
+        return mayHaveStoodStill ? state.read : now;
+    }
+
+    /**
+     * Tells whether the VM may have been suspended since this read began, or since the last one that succeeded: the monotonic
+     * clock may not have counted that time.
+     */
+    private boolean mayHaveBeenSuspended(SourceState state) {
+        Moment now = Moment.now(timers);
+        return !now.clocksAgreeSince(state.read) || !now.clocksAgreeSince(responded);
+    }
+
+    /**
+     * Tells whether this node may have started on an older copy of the store, so that what it lacks is new to it alone: no other
+     * node has responded, and one may still do so.
+     */
+    private boolean mayKnowLessThanOthers() {
+        return !peerAnswered && peers.peer(0).isPresent() && timers.nanoTime() - comparePeersUntilNanos < 0;
+    }
+
+    private Duration timeOfInterruption() {
+        return loaded && isOutdated() ? age() : Duration.ZERO;
     }
 
     private boolean isOutdated() {
@@ -443,12 +480,29 @@
                 .with("age_ms", age().toMillis())
                 .write();
         updateStaleness();
-        publish(facts.present(), Duration.ZERO);
+        publish(facts.present(), facts.position(), AGE_UNKNOWN);
+    }
+
+    private void publish(List<FactItem> items, StorePosition completeBefore, Duration maximumAge) {
+        List<FactItem> held = items.stream()
+                .filter(item -> wasHeldBefore(item, completeBefore))
+                .toList();
+        List<FactItem> published = items.stream()
+                .filter(item -> !wasHeldBefore(item, completeBefore))
+                .toList();
+        if (!held.isEmpty()) {
+            runGuarded(() -> listener.itemsChanged(held, AGE_UNKNOWN));
+        }
+        runGuarded(() -> listener.itemsChanged(published, maximumAge));
+        runGuarded(refreshed);
     }
 
-    private void publish(List<FactItem> items, Duration maximumAge) {
-        runGuarded(() -> listener.itemsChanged(items, maximumAge));
-        runGuarded(refreshed);
+    /**
+     * Tells whether another node held an item while this one took its facts for complete. The store was restored from a copy
+     * without it then, and when it was published is not known.
+     */
+    private static boolean wasHeldBefore(FactItem item, StorePosition completeBefore) {
+        return item.isRetained() || item.position().compareTo(completeBefore) <= 0;
     }
 
     /** Runs a listener; one that fails must not end the reading, nor keep the others from running. */
@@ -522,7 +576,7 @@
         private boolean historyGone;
         private int failures;
         private long notBeforeNanos;
-        private long readNanos;
+        private Moment read = new Moment(0, Instant.EPOCH);
 
         SourceState(Duration wait, boolean store) {
             this.wait = wait;
