A staging completes once where the engine responds at once

What callers saw: nothing known. A slot process would announce a load several times and, when the second command found the staging gone, take the load for not begun: no weights_in_use line, and the engine is not held as loading. Cause: ChunkStaging.startSteps calls itself through responses that are there at once, and each of the nested calls found all steps done and completed the staging again. The connection to an engine responds later, so that this is seen in tests only. Test: EngineWeightsControllerTest.announcesALoadOnce failed before (2 of 2 cases).

--- a/galenahinge/src/main/java/org/galenahinge/supply/ChunkStaging.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/ChunkStaging.java
@@ -31,6 +31,7 @@
     private final Moment started;
     private final Deque<Integer> remaining = new ArrayDeque<>();
     private int inProgress;
+    private boolean complete;
     private int fetched;
     private int failures;
 
@@ -96,7 +97,9 @@
             inProgress++;
             verifyStaged(remaining.poll());
         }
-        if (isCurrent() && inProgress == 0 && remaining.isEmpty()) {
+        // Where the engine responds at once, the calls of this method are nested, and each one finds all steps done.
+        if (!complete && isCurrent() && inProgress == 0 && remaining.isEmpty()) {
+            complete = true;
             onComplete.accept(this);
         }
     }
--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
@@ -130,6 +131,18 @@
         timers.stepTimeOfDay(Duration.ofMillis(timeOfDayMillis));
     }
 
+    /** Guards against a staging that completes once for each chunk where the engine responds at once. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void announcesALoadOnce(long version) {
+        AtomicInteger announced = new AtomicInteger();
+        controller.onBeforeLoad(ignored -> announced.incrementAndGet());
+        controller.setTarget(digests(version), LoadSchedule.UNKNOWN);
+        report(Duration.ofSeconds(2));
+        assertThat(engine.loaded).containsExactly(version);
+        assertThat(announced).hasValue(1);
+    }
+
     @Test
     void doesNotStageCorruptChunks() {
         source.corruptChunks = 3;
