Loads are scheduled so that the last engine has the version in use by the rollout time

Cause: LoadSchedule spread the loads up to 1.4 s before the rollout time, whatever a load takes: running requests end first, then the engine warms up. The load of an engine that had no weights does not count, as no running requests hold it up.

--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -51,6 +51,8 @@
     private boolean loading;
     private Optional<WeightsVersion> commanded = Optional.empty();
     private long commandedNanos;
+    private long announcedNanos;
+    private boolean servedBeforeLoad;
 
     private EngineWeightsController(
             EngineControl engine,
@@ -201,11 +203,7 @@
         report = Optional.of(newReport);
         if (loading
                 && commanded.filter(weights -> hasLoaded(newReport, weights)).isPresent()) {
-            loading = false;
-            log.event(Category.BELIEF, "weights_in_use")
-                    .with("version", commanded.get().version())
-                    .with("after_ms", millisSinceNamed())
-                    .write();
+            loadCompleted(commanded.get());
         } else if (loading && commanded.isPresent() && isCommandDropped(newReport)) {
             loading = false;
             log.event(Category.FAILURE, "order_without_effect")
@@ -215,6 +213,22 @@
         startStagingIfNeeded();
     }
 
+    /**
+     * Records a load that is complete. One of an engine that served nothing before tells nothing of the next load, since the
+     * engine had no running requests to wait for.
+     */
+    private void loadCompleted(WeightsVersion weights) {
+        loading = false;
+        Duration loadTime = Duration.ofNanos(timers.nanoTime() - announcedNanos);
+        if (servedBeforeLoad) {
+            rollout.recordLoadTime(loadTime);
+        }
+        log.event(Category.BELIEF, "weights_in_use")
+                .with("version", weights.version())
+                .with("after_ms", millisSinceNamed())
+                .write();
+    }
+
     /**
      * Tells whether the engine has dropped the load command: some time after it, it neither loads nor has the version.
      */
@@ -383,6 +397,8 @@
         }
         loading = true;
         commanded = Optional.empty();
+        announcedNanos = timers.nanoTime();
+        servedBeforeLoad = report.flatMap(EngineReport::weights).isPresent();
         beforeLoad.accept(report.orElseThrow());
         timers.schedule(QUIESCE_DELAY, () -> sendLoadCommand(finished));
     }
