weights_in_use says how long the load took

What operators saw: weights_in_use had the time since the naming only, so that a late load command and a long load looked alike. Change: load_ms, the time from when the engine stops to get new requests to the report that shows the version. Test: EngineWeightsControllerTest.logsHowLongALoadTook failed before (3 of 3 cases).

--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -226,6 +226,7 @@
         log.event(Category.BELIEF, "weights_in_use")
                 .with("version", weights.version())
                 .with("after_ms", millisSinceNamed())
+                .with("load_ms", loadTime.toMillis())
                 .write();
     }
 
--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -33,13 +33,10 @@
     private final ManualTimers timers = new ManualTimers();
     private final FakeEngine engine = new FakeEngine();
     private final FakeSource source = new FakeSource();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final EventLog log = EventLog.to("test", logged, new MetricRegistry());
     private final EngineWeightsController controller = EngineWeightsController.create(
-            engine,
-            failures -> Optional.of(source),
-            Duration.ofSeconds(8),
-            timers,
-            EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
-            new MetricRegistry());
+            engine, failures -> Optional.of(source), Duration.ofSeconds(8), timers, log, new MetricRegistry());
 
     @Test
     void anEngineWithoutWeightsLoadsAtOnce() {
@@ -326,6 +323,20 @@
         assertThat(engine.loadedVersion).isEqualTo(2);
     }
 
+    /** The time counts from when the engine stops to serve, 100 ms before the command, to the report with the version. */
+    @ParameterizedTest
+    @CsvSource({"300, 400", "1300, 1400", "2200, 2300"})
+    void logsHowLongALoadTook(long loadMillis, long expectedMillis) {
+        engine.loadedVersion = 1;
+        engine.loadTime = Duration.ofMillis(loadMillis);
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ofSeconds(8)));
+        report(Duration.ofSeconds(4));
+        log.close();
+        assertThat(logged.toString(StandardCharsets.UTF_8))
+                .containsOnlyOnce("\"weights_in_use\"")
+                .containsOnlyOnce("\"load_ms\":" + expectedMillis);
+    }
+
     private static LoadSchedule scheduleOf(long version, Duration age) {
         return new LoadSchedule(List.of(NamedVersion.aged(version, age)), 1);
     }
