--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
@@ -32,13 +33,10 @@
     private final ManualTimers timers = new ManualTimers();
     private final FakeEngine engine = new FakeEngine();
     private final FakeSource source = new FakeSource();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final EventLog log = EventLog.to("test", logged, new MetricRegistry());
     private final EngineWeightsController controller = EngineWeightsController.create(
-            engine,
-            failures -> Optional.of(source),
-            Duration.ofSeconds(8),
-            timers,
-            EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry()),
-            new MetricRegistry());
+            engine, failures -> Optional.of(source), Duration.ofSeconds(8), timers, log, new MetricRegistry());
 
     @Test
     void anEngineWithoutWeightsLoadsAtOnce() {
@@ -52,7 +50,7 @@
         engine.loadedVersion = 1;
         LoadSchedule schedule = new LoadSchedule(List.of(NamedVersion.aged(2, Duration.ofMillis(3_500))), 1);
         controller.setTarget(digests(2), schedule);
-        report(Duration.ofSeconds(3));
+        report(Duration.ofMillis(1_900));
         assertThat(engine.loaded).isEmpty();
         report(Duration.ofMillis(800));
         assertThat(engine.loaded).containsExactly(2L);
@@ -130,6 +128,18 @@
         timers.stepTimeOfDay(Duration.ofMillis(timeOfDayMillis));
     }
 
+    /** Guards against a staging that completes once for each chunk where the engine responds at once. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void announcesALoadOnce(long version) {
+        AtomicInteger announced = new AtomicInteger();
+        controller.onBeforeLoad(ignored -> announced.incrementAndGet());
+        controller.setTarget(digests(version), LoadSchedule.UNKNOWN);
+        report(Duration.ofSeconds(2));
+        assertThat(engine.loaded).containsExactly(version);
+        assertThat(announced).hasValue(1);
+    }
+
     @Test
     void doesNotStageCorruptChunks() {
         source.corruptChunks = 3;
@@ -280,6 +290,74 @@
         assertThat(engine.loaded).containsExactly(3L);
     }
 
+    /** Guards against an engine that loads last and has the version in use only after the rollout time. */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 1_300, 2_000, 2_200})
+    void hasTheFirstVersionInUseByTheRolloutTime(long loadMillis) {
+        engine.loadedVersion = 1;
+        engine.loadTime = Duration.ofMillis(loadMillis);
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ofMillis(3_500)));
+        report(Duration.ofMillis(4_500));
+        assertThat(engine.loadedVersion).isEqualTo(2);
+    }
+
+    /** Guards against the same at an engine whose last load took longer or shorter than is expected of the first one. */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 1_000, 2_000, 3_000, 3_500})
+    void hasTheNextVersionInUseByTheRolloutTime(long loadMillis) {
+        engine.loadedVersion = 1;
+        engine.loadTime = Duration.ofMillis(loadMillis);
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ofSeconds(8)));
+        report(Duration.ofSeconds(6));
+        assertThat(engine.loadedVersion).isEqualTo(2);
+        controller.setTarget(digests(3), scheduleOf(3, Duration.ofMillis(500)));
+        report(Duration.ofMillis(7_500));
+        assertThat(engine.loadedVersion).isEqualTo(3);
+    }
+
+    /** An engine whose last load was short serves as long as one may: up to 1.4 s before the rollout time. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 500, 900})
+    void servesLongerIfItsLastLoadWasShort(long loadMillis) {
+        engine.loadedVersion = 1;
+        engine.loadTime = Duration.ofMillis(loadMillis);
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ofSeconds(8)));
+        report(Duration.ofSeconds(6));
+        controller.setTarget(digests(3), scheduleOf(3, Duration.ZERO));
+        report(Duration.ofMillis(6_500));
+        assertThat(engine.loaded).containsExactly(2L);
+        report(Duration.ofMillis(300));
+        assertThat(engine.loaded).containsExactly(2L, 3L);
+    }
+
+    /** Guards against counting the load of an engine that served nothing: it waits for no running requests. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 700})
+    void doesNotExpectTheNextLoadToBeAsShortAsOneOfAnEngineWithoutWeights(long firstLoadMillis) {
+        engine.loadTime = Duration.ofMillis(firstLoadMillis);
+        controller.setTarget(digests(1), scheduleOf(1, Duration.ofSeconds(8)));
+        report(Duration.ofSeconds(3));
+        assertThat(engine.loadedVersion).isEqualTo(1);
+        engine.loadTime = Duration.ofMillis(2_200);
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ZERO));
+        report(Duration.ofSeconds(8));
+        assertThat(engine.loadedVersion).isEqualTo(2);
+    }
+
+    /** The time counts from when the engine stops to serve, 100 ms before the command, to the report with the version. */
+    @ParameterizedTest
+    @CsvSource({"300, 400", "1300, 1400", "2200, 2300"})
+    void logsHowLongALoadTook(long loadMillis, long expectedMillis) {
+        engine.loadedVersion = 1;
+        engine.loadTime = Duration.ofMillis(loadMillis);
+        controller.setTarget(digests(2), scheduleOf(2, Duration.ofSeconds(8)));
+        report(Duration.ofSeconds(4));
+        log.close();
+        assertThat(logged.toString(StandardCharsets.UTF_8))
+                .containsOnlyOnce("\"weights_in_use\"")
+                .containsOnlyOnce("\"load_ms\":" + expectedMillis);
+    }
+
     private static LoadSchedule scheduleOf(long version, Duration age) {
         return new LoadSchedule(List.of(NamedVersion.aged(version, age)), 1);
     }
@@ -339,6 +417,7 @@
         private boolean dropNextCommand;
         private Runnable beforeNextCommand = () -> {};
         private Duration stagingDelay = Duration.ZERO;
+        private Duration loadTime = Duration.ZERO;
 
         EngineReport state() {
             Optional<WeightsVersion> weights =
@@ -385,6 +464,9 @@
             stagedAtCommand = Map.copyOf(staged);
             if (finishLoadsManually) {
                 loadingVersion = weights.version();
+            } else if (!loadTime.isZero()) {
+                loadingVersion = weights.version();
+                timers.schedule(loadTime, this::finishLoad);
             } else {
                 loadedVersion = weights.version();
             }
