--- a/bench/src/main/java/org/galenahinge/bench/soak/Bounds.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Bounds.java
@@ -11,8 +11,15 @@
  * @param configApply the time in which an entry applies a config or changed settings
  * @param stableWindow the time after which a disruption is over
  * @param lossSlack the time after its last byte within which a request may cross a close
+ * @param versionTime the time after the naming of a version from which on no request begins on an older one
  */
-record Bounds(Duration grace, Duration routeTimeout, Duration configApply, Duration stableWindow, Duration lossSlack) {
+record Bounds(
+        Duration grace,
+        Duration routeTimeout,
+        Duration configApply,
+        Duration stableWindow,
+        Duration lossSlack,
+        Duration versionTime) {
     /** The time after the grace, and after a config is applied, that still belongs to the planned work. */
     static final Duration AFTER_PLANNED_WORK = Duration.ofSeconds(1);
 
@@ -31,7 +38,8 @@
                 Duration.ofMillis(EntryFleetStandIn.ROUTE_TIMEOUT_MILLIS),
                 Duration.ofMillis(EntryFleetStandIn.CONFIG_APPLY_MILLIS),
                 Duration.ofMillis(EntryFleetStandIn.STABLE_WINDOW_MILLIS),
-                Duration.ofMillis(EntryFleetStandIn.LOSS_SLACK_MILLIS));
+                Duration.ofMillis(EntryFleetStandIn.LOSS_SLACK_MILLIS),
+                Duration.ofMillis(EntryFleetStandIn.VERSION_MILLIS));
     }
 
     /** Returns the last sixth of the grace after a SIGTERM. */
--- a/bench/src/main/java/org/galenahinge/bench/soak/EntryUnderTest.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/EntryUnderTest.java
@@ -34,6 +34,7 @@
     private final List<Long> stops = new ArrayList<>();
     private final List<Long> reloads = new ArrayList<>();
     private final List<Span> freezes = new ArrayList<>();
+    private final List<Long> kills = new ArrayList<>();
     private final List<Long> starts = new ArrayList<>();
     private final List<Fault> startFaults = new ArrayList<>();
     private final List<Verdict.Judgement> wrongs = new ArrayList<>();
@@ -43,6 +44,7 @@
     private boolean stopping;
     private boolean frozenWithinStop;
     private boolean signalledAtStart;
+    private boolean killedByFault;
 
     EntryUnderTest(int number, Path logs, EntryFleetStandIn fleet, List<String> command, Timeline timeline) {
         this.number = number;
@@ -74,6 +76,7 @@
             case STOP, STOP_AT_START -> stop(nowNanos);
             case STOP_AGAIN -> process.requestStop();
             case INTERRUPT -> process.interrupt();
+            case KILL -> killByFault(nowNanos);
             case RELOAD_CHANGED -> {
                 changes++;
                 writeSettings();
@@ -92,6 +95,12 @@
         };
     }
 
+    private void killByFault(long nowNanos) {
+        killedByFault = true;
+        kills.add(nowNanos);
+        process.kill();
+    }
+
     private void stop(long nowNanos) {
         stopping = true;
         stops.add(nowNanos);
@@ -174,6 +183,9 @@
                 + (signalledAtStart ? ", signalled during its start" : "");
         timeline.print(detail);
         boolean killed = millis > TimeUnit.SECONDS.toMillis(EntryFleetStandIn.GRACE_SECONDS);
+        if (killedByFault) {
+            return;
+        }
         if (!stopping) {
             wrongs.add(new Verdict.Judgement(Finding.ENDED, detail));
         } else if (code != 0 && !killed) {
@@ -187,6 +199,7 @@
         stopping = false;
         frozenWithinStop = false;
         signalledAtStart = false;
+        killedByFault = false;
         starts.add(System.nanoTime());
         Map<String, String> environment =
                 Map.of(EntryFleetStandIn.SETTINGS_PATH_VARIABLE, settingsFile().toString());
@@ -238,7 +251,7 @@
 
     /** Returns what was done to it, together with what was done around it. */
     synchronized PlannedWork work(List<Long> configs, List<Span> storeAway) {
-        return new PlannedWork(stops, reloads, configs, freezes, storeAway, starts);
+        return new PlannedWork(stops, reloads, configs, freezes, storeAway, starts, kills);
     }
 
     /** Returns what its processes did wrong, and forgets it. */
@@ -253,6 +266,7 @@
         stops.removeIf(at -> at < nanos);
         reloads.removeIf(at -> at < nanos);
         starts.removeIf(at -> at < nanos);
+        kills.removeIf(at -> at < nanos);
         freezes.removeIf(span -> span.toNanos() < nanos);
     }
 
--- a/bench/src/main/java/org/galenahinge/bench/soak/Fault.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Fault.java
@@ -4,7 +4,7 @@
  * A fault at a time of an episode.
  *
  * @param atMillis when it comes: after the begin of the episode, or of a start for the kinds that say so, in milliseconds
- * @param entry the number of the entry, from 0; without meaning for faults around entries
+ * @param entry the number of the entry, or of the engine, from 0; without meaning for faults around them
  * @param kind what it is
  * @param lastsMillis how long it lasts, in milliseconds, 0 if it has no duration
  */
@@ -30,7 +30,15 @@
         /** SIGHUP at a time after the next start of the process. */
         RELOAD_AT_START,
         /** SIGTERM at a time after the next start of the process. */
-        STOP_AT_START
+        STOP_AT_START,
+        /** SIGKILL. */
+        KILL,
+        /** The next version of the weights is named. */
+        NAME_VERSION,
+        /** The VM of an engine is suspended for a time. */
+        SUSPEND_ENGINE,
+        /** An engine queues requests for a time before it begins them, and for as long as it does so. */
+        QUEUE_ENGINE
     }
 
     boolean isAtStart() {
--- a/bench/src/main/java/org/galenahinge/bench/soak/Finding.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Finding.java
@@ -38,6 +38,10 @@
     MIXED(true),
     /** A stream with missing, repeated or joined events, or that ends too soon as if complete. */
     DISORDER(true),
+    /** A run that began on an older version than one whose time was over, of an entry to which something was done. */
+    EXCUSED_VERSION(false),
+    /** A run that began on an older version of the weights than one whose time was over. */
+    VERSION(true),
     /** A process that ended after SIGTERM with an exit code other than 0. */
     EXIT_CODE(true),
     /** A process that outlived its grace. */
--- a/bench/src/main/java/org/galenahinge/bench/soak/PlannedWork.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/PlannedWork.java
@@ -11,6 +11,7 @@
  * @param freezes freezes of its processes
  * @param storeAway spans in which the store was away
  * @param starts when its processes were started, in the same clock
+ * @param kills when its processes were killed, in the same clock
  */
 record PlannedWork(
         List<Long> stops,
@@ -18,7 +19,8 @@
         List<Long> configs,
         List<Span> freezes,
         List<Span> storeAway,
-        List<Long> starts) {
+        List<Long> starts,
+        List<Long> kills) {
     PlannedWork {
         stops = List.copyOf(stops);
         reloads = List.copyOf(reloads);
@@ -26,9 +28,21 @@
         freezes = List.copyOf(freezes);
         storeAway = List.copyOf(storeAway);
         starts = List.copyOf(starts);
+        kills = List.copyOf(kills);
+    }
+
+    /** Creates the work around an entry of which no process was killed. */
+    PlannedWork(
+            List<Long> stops,
+            List<Long> reloads,
+            List<Long> configs,
+            List<Span> freezes,
+            List<Span> storeAway,
+            List<Long> starts) {
+        this(stops, reloads, configs, freezes, storeAway, starts, List.of());
     }
 
     static PlannedWork none() {
-        return new PlannedWork(List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+        return new PlannedWork(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
     }
 }
--- a/bench/src/main/java/org/galenahinge/bench/soak/SoakMain.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/SoakMain.java
@@ -128,6 +128,7 @@
                 .setDefault(Scenario.STOP.flag())
                 .help("faults beside one SIGTERM for each entry: plain has none, again has signals again, start has"
                         + " signals during start, around has reloads, configs and the store away, stop has all;"
+                        + " rollout kills entries, and has versions of weights, freezes and the store away;"
                         + " default stop");
         parser.addArgument("--busy-threads")
                 .type(Integer.class)
--- a/bench/src/main/java/org/galenahinge/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/SoakRun.java
@@ -25,7 +25,8 @@
  */
 final class SoakRun implements AutoCloseable {
     private static final int UPSTREAMS = 4;
-    private static final int FAULT_THREADS = 8;
+    private static final int ENGINES = 4;
+    private static final int FAULT_THREADS = 16;
     private static final long AFTER_LAST_FAULT_MILLIS = 300;
 
     /** The time after an entry is ready in which the signals at its start have come. */
@@ -46,6 +47,7 @@
     private final List<Long> configs = new CopyOnWriteArrayList<>();
     private final List<Span> storeAway = new CopyOnWriteArrayList<>();
     private final EntryFleetStandIn fleet;
+    private final Rollout rollout;
     private final List<EntryUnderTest> entries = new ArrayList<>();
     private final List<Thread> watchers = new ArrayList<>();
     private final ScheduledExecutorService faultThreads = Executors.newScheduledThreadPool(FAULT_THREADS);
@@ -84,8 +86,10 @@
         this.output = output;
         this.timeline = new Timeline(output);
         this.random = new Random(settings.seed());
-        this.source = new WorkSource("s" + settings.seed() + "-");
-        this.fleet = new EntryFleetStandIn(UPSTREAMS, this::recordRun);
+        boolean usesEngines = settings.scenario().usesEngines();
+        this.source = new WorkSource("s" + settings.seed() + "-", usesEngines);
+        this.fleet = new EntryFleetStandIn(UPSTREAMS, usesEngines ? ENGINES : 0, this::recordRun);
+        this.rollout = new Rollout(fleet, settings.entries(), settings.seed(), timeline);
         configs.add(System.nanoTime());
         for (int number = 0; number < settings.entries(); number++) {
             EntryUnderTest entry = new EntryUnderTest(number, settings.logs(), fleet, settings.command(), timeline);
@@ -130,7 +134,7 @@
         int episode = 1;
         do {
             timeline.print("episode " + episode + " of seed " + settings.seed());
-            runEpisode(FaultPlan.draw(random, settings.scenario(), entries.size()), episode);
+            runEpisode(FaultPlan.draw(random, settings.scenario(), entries.size(), ENGINES), episode);
             episode++;
         } while (System.nanoTime() < endNanos);
         List<String> byNumber = tally.violationsByNumber((double) besideConfigNanos / episodeNanos);
@@ -210,6 +214,9 @@
                 fleet.publishNextConfig();
             }
             case STORE_AWAY -> takeStoreAway(fault.lastsMillis());
+            case NAME_VERSION -> rollout.nameNext();
+            case SUSPEND_ENGINE -> rollout.suspend(fault.entry(), fault.lastsMillis());
+            case QUEUE_ENGINE -> rollout.queue(fault.entry(), fault.lastsMillis());
             case FREEZE -> entries.get(fault.entry()).freeze(fault.lastsMillis());
             default -> entries.get(fault.entry()).apply(fault.kind());
         }
@@ -246,7 +253,9 @@
         List<UpstreamRun> seen = runs.getOrDefault(attempt.order().id(), List.of());
         List<UpstreamRun> before =
                 attempt.behind().map(id -> runs.getOrDefault(id, List.of())).orElse(List.of());
-        for (Verdict.Judgement judgement : verdict.judge(attempt, seen, before, work)) {
+        List<Verdict.Judgement> judgements = new ArrayList<>(verdict.judge(attempt, seen, before, work));
+        judgements.addAll(verdict.judgeVersions(seen, rollout.namings(), work));
+        for (Verdict.Judgement judgement : judgements) {
             tally.add(judgement.finding(), attempt.entry());
             if (judgement.finding().isViolation() || judgement.finding().countsByNumber()) {
                 printViolation(judgement, attempt, seen, work);
@@ -266,7 +275,10 @@
                 + attempt.status()
                 + attempt.behind().map(id -> ", behind " + id).orElse(""));
         seen.forEach(run -> output.accept("    " + run.upstream() + " from " + timeline.at(run.arrivalNanos()) + " to "
-                + timeline.at(run.endNanos()) + (run.executed() ? ", ran" : ", rejected")));
+                + timeline.at(run.endNanos()) + (run.executed() ? ", ran" : ", rejected")
+                + run.begin()
+                        .map(begin -> ", begun " + timeline.at(begin.nanos()) + " on version " + begin.version())
+                        .orElse("")));
         work.stops().forEach(stop -> output.accept("    SIGTERM " + timeline.at(stop)));
         entries.get(attempt.entry())
                 .logLinesContaining('"' + attempt.order().id() + '"', PRINTED_LOG_LINES)
@@ -293,6 +305,7 @@
         callersEnd = true;
         watchers.forEach(Thread::interrupt);
         faultThreads.shutdownNow();
+        rollout.close();
         entries.forEach(EntryUnderTest::kill);
         fleet.close();
     }
--- a/bench/src/main/java/org/galenahinge/bench/soak/Verdict.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Verdict.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.galenahinge.standins.platform.CallerResponse;
 import org.galenahinge.standins.platform.UpstreamRun;
 
@@ -44,6 +46,54 @@
         return List.copyOf(judgements);
     }
 
+    /**
+     * Judges on which versions of the weights the runs of a request began.
+     *
+     * @param runs what upstreams saw of it
+     * @param namings the versions that the store acknowledged
+     * @param work what was done to the entry that passed it on
+     * @return a judgement for each run that began on a version whose time was over, also if that is excused
+     */
+    List<Judgement> judgeVersions(List<UpstreamRun> runs, List<Naming> namings, PlannedWork work) {
+        return runs.stream()
+                .flatMap(run -> run
+                        .begin()
+                        .flatMap(begin -> findOverdue(begin, namings))
+                        .map(overdue -> new Judgement(versionFinding(run, work), describe(run, overdue)))
+                        .stream())
+                .toList();
+    }
+
+    private Finding versionFinding(UpstreamRun run, PlannedWork work) {
+        long beginNanos = run.begin().orElseThrow().nanos();
+        return isDisturbed(run.arrivalNanos(), beginNanos, work) ? Finding.EXCUSED_VERSION : Finding.VERSION;
+    }
+
+    /** Finds the first of the newer versions whose time was over when a run began. */
+    private Optional<Naming> findOverdue(UpstreamRun.Begin begin, List<Naming> namings) {
+        return namings.stream()
+                .filter(naming -> naming.version() > begin.version())
+                .filter(naming -> begin.nanos() - naming.acknowledgedNanos()
+                        > bounds.versionTime().toNanos())
+                .min(Comparator.comparingLong(Naming::acknowledgedNanos));
+    }
+
+    private static String describe(UpstreamRun run, Naming overdue) {
+        UpstreamRun.Begin begin = run.begin().orElseThrow();
+        return "begun by " + run.upstream() + " on version " + begin.version() + ", "
+                + Duration.ofNanos(begin.nanos() - overdue.acknowledgedNanos()).toMillis() + " ms after version "
+                + overdue.version() + " was acknowledged";
+    }
+
+    /** Whether something was done to the entry from the stable window before it passed a request on until that began. */
+    private boolean isDisturbed(long passedOnNanos, long beginNanos, PlannedWork work) {
+        long fromNanos = passedOnNanos - bounds.stableWindow().toNanos();
+        return overlapsAny(work.freezes(), fromNanos, beginNanos)
+                || overlapsAny(work.storeAway(), fromNanos, beginNanos)
+                || containsAny(work.kills(), fromNanos, beginNanos)
+                || containsAny(work.starts(), fromNanos, beginNanos);
+    }
+
     private Finding judgeEnding(
             Attempt attempt, List<UpstreamRun> runs, List<UpstreamRun> runsBefore, PlannedWork work) {
         if (attempt.isComplete()) {
@@ -130,6 +180,7 @@
         long fromNanos = attempt.sentNanos() - bounds.stableWindow().toNanos();
         boolean storeCounts = attempt.order().kind().isStream();
         return overlapsAny(work.freezes(), fromNanos, attempt.endNanos())
+                || containsAny(work.kills(), fromNanos, attempt.endNanos())
                 || (storeCounts && overlapsAny(work.storeAway(), fromNanos, attempt.endNanos()));
     }
 
@@ -137,6 +188,10 @@
         return spans.stream().anyMatch(span -> span.overlaps(fromNanos, toNanos));
     }
 
+    private static boolean containsAny(List<Long> moments, long fromNanos, long toNanos) {
+        return moments.stream().anyMatch(new Span(fromNanos, toNanos)::contains);
+    }
+
     private boolean isAroundStop(Attempt attempt, PlannedWork work) {
         return work.stops().stream().map(bounds::stopSpan).anyMatch(span -> span.contains(attempt.endNanos()));
     }
--- a/bench/src/main/java/org/galenahinge/bench/soak/WorkSource.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/WorkSource.java
@@ -1,5 +1,7 @@
 package org.galenahinge.bench.soak;
 
+import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import org.galenahinge.standins.platform.WorkOrder;
@@ -21,18 +23,39 @@
     private static final int FAILED_PERCENT = 5;
     private static final int BROKEN_OFF_PERCENT = 7;
 
+    private static final int LONGEST_PROMPT_MILLIS = 1_500;
+    private static final List<WorkOrder.Kind> PLAIN_KINDS = Arrays.stream(WorkOrder.Kind.values())
+            .filter(kind -> !kind.usesEngine())
+            .toList();
+    private static final List<WorkOrder.Kind> ENGINE_KINDS = Arrays.stream(WorkOrder.Kind.values())
+            .filter(WorkOrder.Kind::usesEngine)
+            .toList();
+
     private final String prefix;
+    private final boolean usesEngines;
     private final AtomicLong ids = new AtomicLong();
 
-    WorkSource(String prefix) {
+    WorkSource(String prefix, boolean usesEngines) {
         this.prefix = prefix;
+        this.usesEngines = usesEngines;
     }
 
     WorkOrder next(Random random, boolean slow) {
         String id = prefix + ids.incrementAndGet();
+        return usesEngines ? nextPrompt(id, random) : nextPlain(id, random, slow);
+    }
+
+    private static WorkOrder nextPrompt(String id, Random random) {
+        WorkOrder.Kind kind = ENGINE_KINDS.get(random.nextInt(ENGINE_KINDS.size()));
+        int pauseMillis = SHORTEST_MILLIS + random.nextInt(LONGEST_PAUSE_MILLIS);
+        int events = Math.max(2, random.nextInt(LONGEST_PROMPT_MILLIS) / pauseMillis);
+        boolean rejected = random.nextInt(PERCENT) < REJECTED_PERCENT;
+        return new WorkOrder(id, kind, events, pauseMillis, 0, rejected ? WorkOrder.Deed.REJECT : WorkOrder.Deed.RUN);
+    }
+
+    private static WorkOrder nextPlain(String id, Random random, boolean slow) {
         WorkOrder.Deed deed = deed(random.nextInt(PERCENT));
-        WorkOrder.Kind[] kinds = WorkOrder.Kind.values();
-        WorkOrder.Kind kind = slow ? WorkOrder.Kind.LOOKUP : kinds[random.nextInt(kinds.length)];
+        WorkOrder.Kind kind = slow ? WorkOrder.Kind.LOOKUP : PLAIN_KINDS.get(random.nextInt(PLAIN_KINDS.size()));
         boolean shortWork = random.nextBoolean();
         int workMillis = SHORTEST_MILLIS + random.nextInt(shortWork ? LONGEST_LOOKUP_MILLIS : LONGEST_MILLIS);
         if (kind.isStream()) {
--- a/bench/src/test/java/org/galenahinge/bench/soak/VerdictTest.java
+++ b/bench/src/test/java/org/galenahinge/bench/soak/VerdictTest.java
@@ -25,7 +25,8 @@
             Duration.ofSeconds(6),
             Duration.ofSeconds(2),
             Duration.ofSeconds(3),
-            Duration.ofMillis(200));
+            Duration.ofMillis(200),
+            Duration.ofSeconds(4));
     private static final long BUDGET = 6_032;
 
     private final Verdict verdict = new Verdict(BOUNDS);
@@ -294,4 +295,104 @@
         }
         assertThat(tally.violationsByNumber(0.5)).hasSize(cuts - 3);
     }
+
+    private static List<Naming> namings() {
+        return List.of(new Naming(2, nanos(1_000)), new Naming(3, nanos(3_000)));
+    }
+
+    private static UpstreamRun begun(long arrived, long begin, long version) {
+        UpstreamRun.Begin first = new UpstreamRun.Begin(nanos(begin), version);
+        return new UpstreamRun("engine-1", nanos(arrived), nanos(begin + 500), true, false, Optional.of(first));
+    }
+
+    private List<Finding> versions(UpstreamRun run, PlannedWork work) {
+        return verdict.judgeVersions(List.of(run), namings(), work).stream()
+                .map(Verdict.Judgement::finding)
+                .toList();
+    }
+
+    static Stream<Arguments> beginsByVersion() {
+        return Stream.of(
+                Arguments.of("on the oldest, in time", begun(900, 5_000, 1), false),
+                Arguments.of("on the oldest, its time over", begun(900, 5_001, 1), true),
+                Arguments.of("passed on in time, begun late", begun(1_100, 6_000, 1), true),
+                Arguments.of("on the middle one, the newest still young", begun(6_900, 7_000, 2), false),
+                Arguments.of("on the middle one, its time over", begun(6_900, 7_001, 2), true),
+                Arguments.of("on the newest", begun(19_900, 20_000, 3), false),
+                Arguments.of("on one that was never named", begun(19_900, 20_000, 4), false));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("beginsByVersion")
+    void countsRunsThatBeginOnAnOlderVersionAfterItsTime(String name, UpstreamRun run, boolean broken) {
+        assertThat(versions(run, PlannedWork.none())).as(name).isEqualTo(broken ? List.of(Finding.VERSION) : List.of());
+    }
+
+    @Test
+    void countsNoRunThatDidNotBegin() {
+        assertThat(versions(run(9_000, 9_500), PlannedWork.none())).isEmpty();
+    }
+
+    @Test
+    void countsEachRunThatBeginsLate() {
+        List<UpstreamRun> runs = List.of(begun(900, 5_200, 1), begun(5_300, 5_400, 1), begun(5_500, 5_600, 2));
+        assertThat(verdict.judgeVersions(runs, namings(), PlannedWork.none()))
+                .extracting(Verdict.Judgement::detail)
+                .containsExactly(
+                        "begun by engine-1 on version 1, 4200 ms after version 2 was acknowledged",
+                        "begun by engine-1 on version 1, 4400 ms after version 2 was acknowledged");
+    }
+
+    private static Span span(long from, long to) {
+        return new Span(nanos(from), nanos(to));
+    }
+
+    private static PlannedWork frozen(long from, long to) {
+        return new PlannedWork(List.of(), List.of(), List.of(), List.of(span(from, to)), List.of(), List.of());
+    }
+
+    private static PlannedWork away(long from, long to) {
+        return new PlannedWork(List.of(), List.of(), List.of(), List.of(), List.of(span(from, to)), List.of());
+    }
+
+    private static PlannedWork started(long at) {
+        return new PlannedWork(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(nanos(at)));
+    }
+
+    private static PlannedWork killed(long at) {
+        return new PlannedWork(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of(nanos(at)));
+    }
+
+    @Test
+    void excusesRequestsOfAKilledProcess() {
+        assertThat(ending(cut(500, 2_000), List.of(run(600, 2_100)), killed(1_900)))
+                .isEqualTo(Finding.DISTURBED);
+        assertThat(ending(cut(500, 2_000), List.of(run(600, 2_100)), killed(2_001)))
+                .isEqualTo(Finding.CUT_AT_ANY_TIME);
+    }
+
+    static Stream<Arguments> disturbancesOfAnEntry() {
+        return Stream.of(
+                Arguments.of("frozen until just before the stable window", frozen(500, 999), false),
+                Arguments.of("frozen within the stable window", frozen(500, 1_000), true),
+                Arguments.of("frozen between passing on and the begin", frozen(5_000, 5_100), true),
+                Arguments.of("frozen after the begin", frozen(6_001, 6_100), false),
+                Arguments.of("the store away until just before the stable window", away(500, 999), false),
+                Arguments.of("the store away within the stable window", away(3_000, 3_500), true),
+                Arguments.of("the store away after the begin", away(6_001, 6_100), false),
+                Arguments.of("started before the stable window", started(999), false),
+                Arguments.of("started within the stable window", started(1_000), true),
+                Arguments.of("started after the begin", started(6_001), false),
+                Arguments.of("killed within the stable window", killed(1_000), true),
+                Arguments.of("killed after the begin", killed(6_001), false),
+                Arguments.of("stopped, which excuses nothing", stop(), false));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("disturbancesOfAnEntry")
+    void excusesLateBeginsOfDisturbedEntriesOnly(String name, PlannedWork work, boolean excused) {
+        assertThat(versions(begun(4_000, 6_000, 1), work))
+                .as(name)
+                .containsExactly(excused ? Finding.EXCUSED_VERSION : Finding.VERSION);
+    }
 }
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/CallerConnection.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/CallerConnection.java
@@ -20,6 +20,8 @@
     private static final int MOST_HEAD_BYTES = 1 << 10;
     private static final Pattern CLOSES = Pattern.compile("(?i)\r\nConnection: *close\r\n");
 
+    private static final String ENGINE_HEADERS = "\r\nModel: " + EntryFleetStandIn.MODEL + "\r\nToken-Counts: 100,20";
+
     private final Socket socket = new Socket();
     private final PacedInput pacing;
     private final InputStream input;
@@ -51,7 +53,7 @@
     public void send(WorkOrder order, long deadlineMillis) throws IOException {
         String text = "POST " + order.target() + " HTTP/1.1\r\nHost: " + EntryFleetStandIn.HOST + "\r\nAttempt-Id: "
                 + order.id() + "\r\nApi-Key: " + EntryFleetStandIn.KEY + "\r\nDeadline-Ms: " + deadlineMillis
-                + "\r\nContent-Length: 2\r\n\r\nhi";
+                + (order.kind().usesEngine() ? ENGINE_HEADERS : "") + "\r\nContent-Length: 2\r\n\r\nhi";
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
     }
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/CallerResponse.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/CallerResponse.java
@@ -146,7 +146,7 @@
         if (ending == Ending.COMPLETE && events != order.events()) {
             return Optional.of("complete after " + events + " of " + order.events() + " events");
         }
-        boolean joined = runs.stream().distinct().count() > 1 && order.kind() != WorkOrder.Kind.RESUMABLE;
+        boolean joined = runs.stream().distinct().count() > 1 && !order.kind().isRepeatable();
         return joined ? Optional.of("events of several runs") : Optional.empty();
     }
 }
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -229,7 +229,7 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private static String engineConfig() {
+    static String engineConfig() {
         return "{\"slots\":16,\"kv_capacity\":317000,\"kv_token_bytes\":262144,\"stride\":5,"
                 + "\"models\":[{\"name\":\"m\",\"pace\":1.0,\"load_s\":4.0,\"warm_s\":0.3}],\"size_mb\":149000.0,"
                 + "\"step_ms\":9.27,\"per_seq_ms\":0.0232,\"context_per_k\":0.0322,\"read_per_s\":20700.0,"
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
@@ -32,45 +32,105 @@
     /** The time within which a connection may cross a request, in milliseconds. */
     public static final int LOSS_SLACK_MILLIS = 200;
 
+    /** The time after the naming of a version from which on no request begins on an older one, in milliseconds. */
+    public static final int VERSION_MILLIS = 4_000;
+
+    static final String MODEL = "m";
     static final String HOST = "desk.example";
     static final String KEY = "key-of-a-tenant";
     private static final String SERVICE = "work";
+    private static final String ENGINE_SERVICE = "engines";
     private static final InetAddress ALL_ADDRESSES = new InetSocketAddress(0).getAddress();
     private static final int FIRST_ADDRESS = 11;
     private static final int RETRY_SLACK = 102;
 
     private final StoreStandIn store = new StoreStandIn();
     private final List<RecordingUpstream> upstreams = new ArrayList<>();
+    private final List<RecordingEngine> engines = new ArrayList<>();
     private final int firstPort = PortBlock.findFree(ALL_ADDRESSES);
     private long version;
 
     /**
      * Starts a store and upstreams.
      *
-     * @param upstreamCount the number of upstreams
+     * @param upstreamCount the number of upstreams without an engine
+     * @param engineCount the number of upstreams with an engine, which have version 1 of the weights
      * @param runs receives the id of each request that reaches an upstream, and what the upstream saw of it
      * @throws IOException if one cannot bind a port
      */
-    public EntryFleetStandIn(int upstreamCount, BiConsumer<String, UpstreamRun> runs) throws IOException {
+    public EntryFleetStandIn(int upstreamCount, int engineCount, BiConsumer<String, UpstreamRun> runs)
+            throws IOException {
         for (int number = 1; number <= upstreamCount; number++) {
             RecordingUpstream upstream = new RecordingUpstream("upstream-" + number, runs);
             upstreams.add(upstream);
             store.put("servers/" + upstream.id(), upstream.storeRecord(SERVICE));
         }
+        for (int number = 1; number <= engineCount; number++) {
+            RecordingEngine engine = new RecordingEngine("engine-" + number, runs, this::writeEngineRecord);
+            engines.add(engine);
+            writeEngineRecord(engine);
+        }
+        if (engineCount > 0) {
+            nameVersion(1);
+        }
         publishNextConfig();
     }
 
+    private void writeEngineRecord(RecordingEngine engine) {
+        store.put("servers/" + engine.id(), engine.storeRecord(ENGINE_SERVICE, MODEL));
+    }
+
+    /**
+     * Names a version of the weights, unless the store is away.
+     *
+     * @param number the version
+     * @return whether the store has acknowledged it
+     */
+    public boolean nameVersion(long number) {
+        return store.putIfAvailable("op/version/" + MODEL, "{\"model\":\"" + MODEL + "\",\"version\":" + number + "}");
+    }
+
+    /**
+     * Returns the upstreams with an engine.
+     *
+     * @return the engines
+     */
+    public List<RecordingEngine> engines() {
+        return List.copyOf(engines);
+    }
+
+    /**
+     * Returns where an entry takes load reports.
+     *
+     * @param entry the number of the entry, from 0
+     * @return the address
+     */
+    public InetSocketAddress loadAddress(int entry) {
+        return new InetSocketAddress(ip(entry), firstPort + 5);
+    }
+
+    /**
+     * Returns the name of the model that the engines serve.
+     *
+     * @return the name
+     */
+    public String model() {
+        return MODEL;
+    }
+
     /** Publishes a config that differs from the one before in its version and in a route that no caller uses. */
     public void publishNextConfig() {
         version++;
         String routes = Arrays.stream(WorkOrder.Kind.values())
+                .filter(kind -> !kind.usesEngine() || !engines.isEmpty())
                 .map(EntryFleetStandIn::route)
                 .collect(Collectors.joining(","));
-        String spareRoute = route("/unused-" + version + "/", "idempotent", false);
+        String spareRoute = route("/unused-" + version + "/", "idempotent", SERVICE, false);
         store.put(
                 "op/config",
                 "{\"version\":" + version + ",\"routes\":[" + routes + "," + spareRoute + "],\"services\":[{\"name\":\""
-                        + SERVICE + "\",\"health_path\":\"/health\",\"max_conns\":264}],\"limits\":{"
+                        + SERVICE + "\",\"health_path\":\"/health\",\"max_conns\":264}" + engineService()
+                        + "],\"limits\":{"
                         + "\"max_header_bytes\":16384,\"max_body_bytes\":100000,\"header_timeout_ms\":3000,"
                         + "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"firm\",\"api_keys\":[\"" + KEY
                         + "\"],\"priority\":1}]}");
@@ -111,7 +171,8 @@
      * @return the number of requests
      */
     public int working() {
-        return upstreams.stream().mapToInt(RecordingUpstream::working).sum();
+        return upstreams.stream().mapToInt(RecordingUpstream::working).sum()
+                + engines.stream().mapToInt(RecordingEngine::working).sum();
     }
 
     /**
@@ -140,6 +201,7 @@
     @Override
     public void close() {
         upstreams.forEach(RecordingUpstream::close);
+        engines.forEach(RecordingEngine::close);
         store.close();
     }
 
@@ -149,17 +211,25 @@
                 + ",\"loss_slack_ms\":" + LOSS_SLACK_MILLIS + ",\"config_apply_ms\":" + CONFIG_APPLY_MILLIS
                 + ",\"rollback_slack_ms\":250,\"max_skew_ms\":5000,\"retry_ratio\":0.2,\"retry_window_s\":10,"
                 + "\"retry_slack\":" + (RETRY_SLACK + change) + ",\"recovery_s\":12,\"pass_ms\":120,"
-                + "\"retry_after_s\":0,\"version_ms\":8000,\"version_all_ms\":0,\"ttl_max_s\":5}";
+                + "\"retry_after_s\":0,\"version_ms\":" + VERSION_MILLIS + ",\"version_all_ms\":0,\"ttl_max_s\":5}";
+    }
+
+    private String engineService() {
+        return engines.isEmpty()
+                ? ""
+                : ",{\"name\":\"" + ENGINE_SERVICE + "\",\"health_path\":\"/health\",\"max_conns\":264,\"engine\":"
+                        + DeploymentStandIn.engineConfig() + "}";
     }
 
     private static String route(WorkOrder.Kind kind) {
-        return route(kind.prefix(), kind.routeKind(), kind == WorkOrder.Kind.RESUMABLE);
+        boolean resumable = kind.isStream() && kind.isRepeatable();
+        return route(kind.prefix(), kind.routeKind(), kind.usesEngine() ? ENGINE_SERVICE : SERVICE, resumable);
     }
 
-    private static String route(String prefix, String kind, boolean resumable) {
+    private static String route(String prefix, String kind, String service, boolean resumable) {
         return "{\"name\":\"route" + prefix.replace('/', '-') + "\",\"host\":\"" + HOST + "\",\"prefix\":\"" + prefix
                 + "\",\"kind\":\"" + kind + "\",\"timeout_ms\":" + ROUTE_TIMEOUT_MILLIS
-                + ",\"target_latency_ms\":500,\"priority\":1,\"service\":\"" + SERVICE
+                + ",\"target_latency_ms\":500,\"priority\":1,\"service\":\"" + service
                 + "\",\"max_attempts\":2,\"public\":false,\"sticky\":false,\"resumable\":" + resumable
                 + ",\"target_gap_ms\":400}";
     }
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/StoreStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/StoreStandIn.java
@@ -75,6 +75,21 @@
         apply(new Item(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)), ++revision));
     }
 
+    /**
+     * Writes an item as a writer that the store does not always answer.
+     *
+     * @param key the key
+     * @param value the value as text, which readers receive in Base64
+     * @return whether the store is available, and has written it
+     */
+    public synchronized boolean putIfAvailable(String key, String value) {
+        if (unavailable) {
+            return false;
+        }
+        put(key, value);
+        return true;
+    }
+
     /**
      * Writes an item whose value readers receive as it is.
      *
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/WorkOrder.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/WorkOrder.java
@@ -35,7 +35,11 @@
         /** A stream that may run once at most. */
         STREAM("/stream/", "streaming", false),
         /** A stream that may be resumed at another upstream. */
-        RESUMABLE("/resumable/", "streaming", true);
+        RESUMABLE("/resumable/", "streaming", true),
+        /** A stream of an engine that may run once at most. */
+        PROMPT("/prompt/", "streaming", false),
+        /** A stream of an engine that may be resumed at another one. */
+        RESUMABLE_PROMPT("/resumable-prompt/", "streaming", true);
 
         private final String prefix;
         private final String routeKind;
@@ -70,7 +74,16 @@
          * @return whether they are streams
          */
         public boolean isStream() {
-            return this == STREAM || this == RESUMABLE;
+            return routeKind.equals("streaming");
+        }
+
+        /**
+         * Returns whether an upstream with an engine serves it.
+         *
+         * @return whether it goes to an engine
+         */
+        public boolean usesEngine() {
+            return this == PROMPT || this == RESUMABLE_PROMPT;
         }
     }
 
