A model of entries of which one starts on an older copy of the store

VersionGossipTest.noEntryTakesAVersionForNewThatWasRetained: nobody knows the age of a version, and an entry that started on a copy without it reads it from a peer that retained it. No change of logic.

--- a/galenahinge/src/test/java/org/galenahinge/node/VersionGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/VersionGossipTest.java
@@ -7,12 +7,23 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.facts.Fact;
+import org.galenahinge.facts.FactCursor;
 import org.galenahinge.facts.FactItem;
+import org.galenahinge.facts.FactLog;
+import org.galenahinge.facts.FactRank;
+import org.galenahinge.facts.FactReadException;
+import org.galenahinge.facts.FactReadException.Cause;
+import org.galenahinge.facts.FactSource;
+import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.facts.StorePosition;
 import org.galenahinge.log.EventLog;
@@ -91,6 +102,35 @@
         }
     }
 
+    /**
+     * Guards against a version of unknown age that an entry takes for new, and tells all others so: the entry started on an
+     * older copy of the store, and only another one that has started since still held the version.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 1, true", "7, 2, true", "20, 3, true", "150, 4, true", "2, 5, false", "7, 6, false", "150, 7, false"
+    })
+    void noEntryTakesAVersionForNewThatWasRetained(int entryCount, long seed, boolean respondsAtStart) {
+        GossipFleet fleet = new GossipFleet(entryCount, timers, new Random(seed));
+        List<Entry> entries = fleet.members().stream().map(Entry::new).toList();
+        for (Entry entry : entries.subList(1, entries.size())) {
+            entry.start();
+            entry.facts.apply(List.of(entry.item("version")), FactSynchronizer.AGE_UNKNOWN);
+        }
+        CopyAndPeer sources = new CopyAndPeer();
+        sources.responds = respondsAtStart;
+        entries.get(0).start();
+        entries.get(0).readFrom(sources);
+        timers.advance(Duration.ofSeconds(2));
+        sources.responds = true;
+        sources.delivers = true;
+        for (int step = 0; step < 60; step++) {
+            timers.advance(Duration.ofMillis(100));
+            boolean hasRead = entries.get(0).facts.newestNamed("m").isPresent();
+            assertThat(entries.subList(hasRead ? 0 : 1, entryCount)).allMatch(Entry::isRequired);
+        }
+        assertThat(entries.get(0).facts.newestNamed("m")).contains(NEW);
+    }
+
     private void advanceTo(Duration sinceNaming) {
         timers.advance(Duration.ofNanos(namedNanos + sinceNaming.toNanos() - timers.nanoTime()));
     }
@@ -99,6 +139,64 @@
         return item.key().equals("other") ? new Fact.Unreadable("other", "") : new Fact.VersionNamed(NEW);
     }
 
+    /** A store that was restored from a copy without the version, and another entry that retained it. */
+    private final class CopyAndPeer implements FactSynchronizer.Peers {
+        private static final StorePosition RESTORED = new StorePosition(2, 5);
+
+        private boolean responds;
+        private boolean delivers;
+
+        @Override
+        public boolean isWatcher() {
+            return false;
+        }
+
+        @Override
+        public boolean isRelay() {
+            return false;
+        }
+
+        @Override
+        public Optional<FactSource> peer(int failures) {
+            return Optional.of(source("peer", () -> responds, () -> delivers));
+        }
+
+        FactSource store() {
+            return source("store", () -> true, () -> false);
+        }
+
+        private FactSource source(String name, BooleanSupplier isUp, BooleanSupplier hasVersion) {
+            return new FactSource() {
+                @Override
+                public CompletionStage<ReadResult> read(FactCursor after, Duration wait) {
+                    CompletableFuture<ReadResult> result = new CompletableFuture<>();
+                    timers.schedule(Duration.ofMillis(100), () -> {
+                        if (isUp.getAsBoolean()) {
+                            result.complete(items(hasVersion.getAsBoolean()));
+                        } else {
+                            result.completeExceptionally(new FactReadException(Cause.SILENT, "on purpose"));
+                        }
+                    });
+                    return result;
+                }
+
+                @Override
+                public String name() {
+                    return name;
+                }
+            };
+        }
+
+        private FactSource.ReadResult items(boolean hasVersion) {
+            FactItem other = FactItem.written("other", new byte[0], new StorePosition(2, 1));
+            FactItem version = FactItem.written("version", new byte[0], RESTORED)
+                    .withRank(FactRank.ofVersion(NEW.version()))
+                    .withPreviousRevision(RESTORED.revision());
+            List<FactItem> items = hasVersion ? List.of(other, version) : List.of(other);
+            return new FactSource.ReadResult(items, true, FactCursor.at(RESTORED), Duration.ZERO);
+        }
+    }
+
     /** Timers of a VM that was suspended: their monotonic clock lags by that time, the time of day does not. */
     private final class SuspendedTimers implements Timers {
         private Duration lag = Duration.ZERO;
@@ -142,6 +240,12 @@
             member.start(new VersionGossip(facts, ROLLOUT));
         }
 
+        void readFrom(CopyAndPeer sources) {
+            FactLog items = FactLog.create(1);
+            FactSynchronizer.create(sources.store(), sources, items, facts::apply, timers, log, 1)
+                    .start();
+        }
+
         void readNewVersion() {
             facts.apply(List.of(item("version")));
         }
