--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/RecordingEngine.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/RecordingEngine.java
@@ -274,7 +274,9 @@
             connection.beginStream(order.id(), RecordingUpstream.seal(id));
             for (int event = first; event <= order.events(); event++) {
                 connection.writeEvent(event, order.id(), run);
-                work();
+                if (event < order.events()) {
+                    work();
+                }
             }
             connection.endStream();
         }
