ProgressWatch: the checks of an attempt's progress have a class and a test of their own

No change of behaviour; the detail of an attempt at an unresponsive upstream counts from its last progress, which is its start.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import org.galenahinge.concurrent.Timers.Timer;
 import org.galenahinge.engine.EventSplitter;
 import org.galenahinge.gateway.UnstartedAttempts.UnstartedAttempt;
 import org.galenahinge.http.HttpConnection;
@@ -37,7 +36,6 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
     private static final Duration MINIMUM_STREAM_STALL_TIMEOUT = Duration.ofMillis(1_300);
-    private static final Duration UNRESPONSIVE_TIMEOUT = Duration.ofMillis(600);
     private static final double STALL_TIMEOUT_PER_PREDICTED_LATENCY = 2.5;
     private static final double STALL_TIMEOUT_SHARE_OF_REMAINING_TIME = 0.5;
 
@@ -47,12 +45,11 @@
     private final double predictedMillis;
     private final OptionalLong exactVersion;
     private final long startedNanos;
+    private final ProgressWatch progress;
     private final long placedVersion;
     private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
     private final EventSplitter splitter = new EventSplitter(MAXIMUM_EVENT_BYTES);
     private Optional<HttpConnection> connection = Optional.empty();
-    private Optional<Timer> stallTimer = Optional.empty();
-    private Optional<Timer> unresponsiveTimer = Optional.empty();
     private CompositeByteBuf buffered = Unpooled.compositeBuffer(64);
     private HttpHeaders headers = new DefaultHttpHeaders();
     private int status;
@@ -66,7 +63,6 @@
     private boolean reused;
     private int events;
     private int bytesWithoutEvent;
-    private long lastProgressNanos;
     private long firstByteNanos;
 
     Attempt(
@@ -81,7 +77,7 @@
         this.predictedMillis = predictedMillis;
         this.exactVersion = exactVersion;
         this.startedNanos = request.gateway().timers().nanoTime();
-        this.lastProgressNanos = startedNanos;
+        this.progress = new ProgressWatch(request.gateway().timers(), this::mayRetryElsewhere, this::abort);
         this.placedVersion = believedVersion(candidate);
     }
 
@@ -122,10 +118,9 @@
         sent = true;
         request.gateway().unstartedAttempts().add(this);
         open.send(head(), Unpooled.wrappedBuffer(request.callerRequest().body()), this);
-        checkStall(stallTimeout());
+        progress.abandonStalled(stallTimeout());
         if (request.route().kind().isStream() && request.route().kind().isIdempotent()) {
-            unresponsiveTimer =
-                    Optional.of(request.gateway().timers().schedule(UNRESPONSIVE_TIMEOUT, this::checkUnresponsive));
+            progress.abandonUnresponsive(() -> candidate.load().isReportOverdue(now()));
         }
     }
 
@@ -179,10 +174,10 @@
         if (streaming) {
             forwardEvents(content);
         } else if (forwardingBody) {
-            lastProgressNanos = now();
+            progress.recordProgress();
             request.response().writePart(content.retain());
         } else {
-            lastProgressNanos = now();
+            progress.recordProgress();
             buffer(content);
         }
         if (!done && !request.response().isWritable()) {
@@ -367,7 +362,7 @@
     private void recordFirstByte() {
         if (firstByteNanos == 0) {
             firstByteNanos = now();
-            lastProgressNanos = firstByteNanos;
+            progress.recordProgress();
         }
     }
 
@@ -451,7 +446,7 @@
         if (event.isBlank()) {
             return;
         }
-        lastProgressNanos = now();
+        progress.recordProgress();
         if (!EventIds.isBare(event)) {
             request.gateway().unstartedAttempts().remove(this);
         }
@@ -602,44 +597,14 @@
         return Duration.ofMillis((long) (request.remainingTime().toMillis() * STALL_TIMEOUT_SHARE_OF_REMAINING_TIME));
     }
 
-    /** Abandons an idempotent attempt that has made no progress for the timeout, if it may be retried elsewhere. */
-    private void checkStall(Duration timeout) {
-        Duration sinceProgress = Duration.ofNanos(now() - lastProgressNanos);
-        Duration untilTimeout = timeout.minus(sinceProgress);
-        if (!untilTimeout.isNegative() && !untilTimeout.isZero()) {
-            stallTimer = Optional.of(request.gateway().timers().schedule(untilTimeout, () -> checkStall(timeout)));
-            return;
-        }
-        if (!done && request.route().kind().isIdempotent() && request.mayRetryElsewhere()) {
-            abort("no data received for " + sinceProgress.toMillis() + " ms");
-            return;
-        }
-        if (!done) {
-            stallTimer =
-                    Optional.of(request.gateway().timers().schedule(timeout.dividedBy(2), () -> checkStall(timeout)));
-        }
-    }
-
-    /** An upstream that sends no data and whose load reports have stopped has most likely failed: retry elsewhere. */
-    private void checkUnresponsive() {
-        if (done || firstByteNanos != 0) {
-            return;
-        }
-        if (candidate.load().isReportOverdue(now()) && request.mayRetryElsewhere()) {
-            abort("no data received for " + ageMillis() + " ms, and the upstream's load reports have stopped");
-            return;
-        }
-        unresponsiveTimer = Optional.of(
-                request.gateway().timers().schedule(UNRESPONSIVE_TIMEOUT.dividedBy(2), this::checkUnresponsive));
+    private boolean mayRetryElsewhere() {
+        return request.route().kind().isIdempotent() && request.mayRetryElsewhere();
     }
 
     /** Ends all checks of the progress that the attempt makes. */
     private void stopChecks() {
         request.gateway().unstartedAttempts().remove(this);
-        stallTimer.ifPresent(Timer::cancel);
-        stallTimer = Optional.empty();
-        unresponsiveTimer.ifPresent(Timer::cancel);
-        unresponsiveTimer = Optional.empty();
+        progress.end();
     }
 
     private long now() {
