Loads are spread over the rollout time as before

Cause: loads that lie closer together leave fewer engines, whose running requests end later. EngineWeightsControllerTest, LoadScheduleTest, WeightsServerTest, SlotNodeTest, LoadAnnouncerTest: no failure.

--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -52,7 +52,6 @@
     private Optional<WeightsVersion> commanded = Optional.empty();
     private long commandedNanos;
     private long announcedNanos;
-    private boolean servedBeforeLoad;
 
     private EngineWeightsController(
             EngineControl engine,
@@ -213,16 +212,9 @@
         startStagingIfNeeded();
     }
 
-    /**
-     * Records a load that is complete. One of an engine that served nothing before tells nothing of the next load, since the
-     * engine had no running requests to wait for.
-     */
     private void loadCompleted(WeightsVersion weights) {
         loading = false;
         Duration loadTime = Duration.ofNanos(timers.nanoTime() - announcedNanos);
-        if (servedBeforeLoad) {
-            rollout.recordLoadTime(loadTime);
-        }
         log.event(Category.BELIEF, "weights_in_use")
                 .with("version", weights.version())
                 .with("after_ms", millisSinceNamed())
@@ -399,7 +391,6 @@
         loading = true;
         commanded = Optional.empty();
         announcedNanos = timers.nanoTime();
-        servedBeforeLoad = report.flatMap(EngineReport::weights).isPresent();
         beforeLoad.accept(report.orElseThrow());
         timers.schedule(QUIESCE_DELAY, () -> sendLoadCommand(finished));
     }
--- a/galenahinge/src/main/java/org/galenahinge/supply/LoadSchedule.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/LoadSchedule.java
@@ -19,12 +19,6 @@
     /** The schedule before an entry has sent one. */
     public static final LoadSchedule UNKNOWN = new LoadSchedule(List.of(), 0);
 
-    /** Also an engine that loads quickly stops to serve this long before the rollout time ends. */
-    private static final Duration MINIMUM_RESERVE = Duration.ofMillis(1_400);
-
-    /** The time to verify the staged chunks before the load, and for timers that run late. */
-    private static final Duration VERIFICATION_RESERVE = Duration.ofMillis(300);
-
     /** Copies the versions; rejects a position outside 0 to 1. */
     public LoadSchedule {
         versions = List.copyOf(Objects.requireNonNull(versions, "versions"));
@@ -62,18 +56,6 @@
         return versions.stream().mapToLong(NamedVersion::version).max().orElse(0);
     }
 
-    /**
-     * Returns how long before the end of the rollout time an engine must stop serving, so that it has the new version in use
-     * by then.
-     *
-     * @param loadTime the time from when the engine stops serving until it has the new version in use
-     * @return the reserve for {@link #untilLoad}
-     */
-    static Duration reserveFor(Duration loadTime) {
-        Duration needed = loadTime.plus(VERIFICATION_RESERVE);
-        return needed.compareTo(MINIMUM_RESERVE) > 0 ? needed : MINIMUM_RESERVE;
-    }
-
     /**
      * Returns how long an engine with all chunks staged continues to serve before it loads. The time counts from the
      * naming of the first version newer than the loaded one.
@@ -81,7 +63,7 @@
      * @param loadedVersion the version that the engine has loaded
      * @param sinceReceived the time since this schedule was received
      * @param rolloutTime the time after a version is named from which all new requests must use it
-     * @param reserve how long before the end of that time the engine must stop serving
+     * @param reserve the part of that time reserved for engines that are late
      * @return the time until the load, zero for at once
      */
     public Duration untilLoad(long loadedVersion, Duration sinceReceived, Duration rolloutTime, Duration reserve) {
--- a/galenahinge/src/main/java/org/galenahinge/supply/VersionRollout.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/VersionRollout.java
@@ -15,8 +15,7 @@
  * one thread.
  */
 final class VersionRollout {
-    /** The load time that is expected before one was measured. */
-    private static final Duration FIRST_LOAD_TIME = Duration.ofMillis(2_200);
+    private static final Duration LATE_ENGINE_RESERVE = Duration.ofMillis(1_400);
 
     private final Duration rolloutTime;
     private final Timers timers;
@@ -24,7 +23,6 @@
     private long newestNamedVersion;
     private LoadSchedule schedule = LoadSchedule.UNKNOWN;
     private long scheduleReceivedNanos;
-    private Duration loadTime = FIRST_LOAD_TIME;
 
     private VersionRollout(Duration rolloutTime, Timers timers) {
         this.rolloutTime = rolloutTime;
@@ -75,18 +73,10 @@
                 .forEach(version -> ages.add(version, now));
     }
 
-    /**
-     * Records how long the engine took from the end of serving until it had a new version in use; its next load is expected to
-     * take as long.
-     */
-    void recordLoadTime(Duration measured) {
-        loadTime = measured;
-    }
-
     /** Returns the time until an engine with these weights stops to load, zero if that is due. */
     Duration untilLoad(WeightsVersion loaded) {
         Duration sinceReceived = Duration.ofNanos(timers.nanoTime() - scheduleReceivedNanos);
-        return schedule.untilLoad(loaded.version(), sinceReceived, rolloutTime, LoadSchedule.reserveFor(loadTime));
+        return schedule.untilLoad(loaded.version(), sinceReceived, rolloutTime, LATE_ENGINE_RESERVE);
     }
 
     /** Returns the versions named so lately that engines may still serve an older one. */
