Attempt: one way to end unsent and one to close, and no second check of the version on pooled connections

The version known at the placement is one field, the larger of what was required and what was believed. isOutdated looks up the required version only where a connection had to be opened: on a pooled one the placement has just done so. ProgressWatch repeats its check by its own entry point instead of a wrapper. Behaviour as before; no test changed.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -78,7 +78,7 @@
         this.exactVersion = exactVersion;
         this.startedNanos = request.gateway().timers().nanoTime();
         this.progress = new ProgressWatch(request.gateway().timers(), this::mayRetryElsewhere, this::abort);
-        this.placedVersion = believedVersion(candidate);
+        this.placedVersion = Math.max(exactVersion.orElse(0L), believedVersion(candidate));
     }
 
     void start(Optional<HttpConnection> pooled) {
@@ -97,21 +97,17 @@
             return;
         }
         if (candidate.load().pause().isActive(now())) {
-            pool.release(open);
-            candidate.load().discard(this);
-            end(Outcome.NOT_SENT, "the upstream has named a time after which it wants requests");
+            endUnsent(open, Outcome.NOT_SENT, "the upstream has named a time after which it wants requests");
             return;
         }
-        if (isOutdated()) {
-            pool.release(open);
-            candidate.load().discard(this);
-            end(Outcome.NOT_SENT, "the weights of the upstream were outdated before its connection was open");
+        // A pooled connection carries the request at the moment of its placement.
+        if (!reused && isOutdated()) {
+            endUnsent(
+                    open, Outcome.NOT_SENT, "the weights of the upstream were outdated before its connection was open");
             return;
         }
         if (!request.tryCountAttempt()) {
-            pool.release(open);
-            candidate.load().discard(this);
-            end(Outcome.NOT_RUN, "the retry budget is exhausted");
+            endUnsent(open, Outcome.NOT_RUN, "the retry budget is exhausted");
             return;
         }
         connection = Optional.of(open);
@@ -222,8 +218,7 @@
     /** Closes the connection, so that the upstream drops the request, and has it retried elsewhere if that is allowed. */
     @Override
     public void withdraw(long required) {
-        connection.ifPresent(HttpConnection::close);
-        connection = Optional.empty();
+        closeConnection();
         candidate.load().discard(this);
         request.gateway().metrics().withdrawn();
         end(Outcome.UNKNOWN, "no event was received before weights older than version " + required + " were outdated");
@@ -259,8 +254,7 @@
     /** An engine goes back to older weights only by a restart, which ends its connections. */
     @Override
     public long knownVersion() {
-        long reported = believedVersion(request.gateway().current(candidate));
-        return Math.max(reported, Math.max(placedVersion, exactVersion.orElse(0L)));
+        return Math.max(placedVersion, believedVersion(request.gateway().current(candidate)));
     }
 
     /** Returns how many events of its stream were passed on. */
@@ -334,8 +328,7 @@
 
     /** Ends an attempt to continue a stream without awaiting the body of the response, which is never passed on. */
     private void endWithoutContinuation() {
-        connection.ifPresent(HttpConnection::close);
-        connection = Optional.empty();
+        closeConnection();
         String detail = "the upstream responded with status " + status + " and did not continue the stream";
         if (notRun) {
             candidate.load().recordRejection(this, now());
@@ -546,12 +539,18 @@
     }
 
     private void abort(String detail) {
-        connection.ifPresent(HttpConnection::close);
-        connection = Optional.empty();
+        closeConnection();
         candidate.load().recordEnd(this, false, now());
         end(Outcome.UNKNOWN, detail);
     }
 
+    /** Ends the attempt before anything was sent; its connection remains usable. */
+    private void endUnsent(HttpConnection open, Outcome outcome, String detail) {
+        pool.release(open);
+        candidate.load().discard(this);
+        end(outcome, detail);
+    }
+
     private void end(Outcome outcome, String detail) {
         if (done) {
             return;
@@ -573,13 +572,18 @@
             candidate.load().recordEnd(this, true, now());
             request.gateway().metrics().firstByte(firstByteMillis(), predictedMillis());
         } else {
-            connection.ifPresent(HttpConnection::close);
+            closeConnection();
             buffered.release();
         }
         connection = Optional.empty();
         request.gateway().serveWaitingAt(upstreamId());
     }
 
+    private void closeConnection() {
+        connection.ifPresent(HttpConnection::close);
+        connection = Optional.empty();
+    }
+
     private void releaseConnection() {
         connection.ifPresent(open -> {
             open.setReading(true);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ProgressWatch.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ProgressWatch.java
@@ -40,7 +40,19 @@
 
     /** Abandons the attempt when it has made no progress for a timeout. */
     void abandonStalled(Duration timeout) {
-        checkStall(timeout);
+        Duration untilTimeout = timeout.minus(sinceProgress());
+        if (!untilTimeout.isNegative() && !untilTimeout.isZero()) {
+            stallTimer = Optional.of(timers.schedule(untilTimeout, () -> abandonStalled(timeout)));
+            return;
+        }
+        if (ended) {
+            return;
+        }
+        if (mayRetryElsewhere.getAsBoolean()) {
+            abandon.accept("no data received for " + sinceProgress().toMillis() + " ms");
+            return;
+        }
+        stallTimer = Optional.of(timers.schedule(timeout.dividedBy(2), () -> abandonStalled(timeout)));
     }
 
     /** Abandons the attempt when nothing is received and the load reports of its upstream have stopped as well. */
@@ -64,22 +76,6 @@
         unresponsiveTimer = Optional.empty();
     }
 
-    private void checkStall(Duration timeout) {
-        Duration untilTimeout = timeout.minus(sinceProgress());
-        if (!untilTimeout.isNegative() && !untilTimeout.isZero()) {
-            stallTimer = Optional.of(timers.schedule(untilTimeout, () -> checkStall(timeout)));
-            return;
-        }
-        if (ended) {
-            return;
-        }
-        if (mayRetryElsewhere.getAsBoolean()) {
-            abandon.accept("no data received for " + sinceProgress().toMillis() + " ms");
-            return;
-        }
-        stallTimer = Optional.of(timers.schedule(timeout.dividedBy(2), () -> checkStall(timeout)));
-    }
-
     /** An upstream that sends no data and whose load reports have stopped has most likely failed. */
     private void checkUnresponsive(BooleanSupplier isReportOverdue) {
         if (ended || responded) {
