--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.Collectors;
 import org.galenahinge.concurrent.Moment;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.log.EventLog;
@@ -356,10 +358,11 @@
                     .with("age_ms", result.age().toMillis())
                     .write();
         }
-        boolean mayBeAnyAge = mayKnowLess || mayHaveBeenSuspended(state);
+        Moment received = Moment.now(timers);
+        boolean mayBeAnyAge = mayKnowLess || mayHaveBeenSuspended(state, received);
         Duration maximumAge = mayBeAnyAge ? AGE_UNKNOWN : timeOfInterruption();
         boolean storeWasUnavailable = age().compareTo(STORE_OUTAGE_AFTER) > 0;
-        Moment sent = earliestResponse(state);
+        Moment sent = earliestResponse(state, received);
         if (sent.nanos() - responded.nanos() > 0) {
             responded = sent;
         }
@@ -384,21 +387,19 @@
      * Returns when the response to a read was sent, at the earliest. If the read took longer than its source waits and a
      * response travels, this node may have stood still meanwhile, and the response may have been sent right at its start.
      */
-    private Moment earliestResponse(SourceState state) {
-        Moment now = Moment.now(timers);
-        Duration taken = Duration.ofNanos(now.nanos() - state.read.nanos());
+    private static Moment earliestResponse(SourceState state, Moment received) {
+        Duration taken = Duration.ofNanos(received.nanos() - state.read.nanos());
         boolean mayHaveStoodStill =
-                taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0 || !now.clocksAgreeSince(state.read);
-        return mayHaveStoodStill ? state.read : now;
+                taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0 || !received.clocksAgreeSince(state.read);
+        return mayHaveStoodStill ? state.read : received;
     }
 
     /**
      * Tells whether the VM may have been suspended since this read began, or since the last one that succeeded: the monotonic
      * clock may not have counted that time.
      */
-    private boolean mayHaveBeenSuspended(SourceState state) {
-        Moment now = Moment.now(timers);
-        return !now.clocksAgreeSince(state.read) || !now.clocksAgreeSince(responded);
+    private boolean mayHaveBeenSuspended(SourceState state, Moment received) {
+        return !received.clocksAgreeSince(state.read) || !received.clocksAgreeSince(responded);
     }
 
     /**
@@ -484,16 +485,13 @@
     }
 
     private void publish(List<FactItem> items, StorePosition completeBefore, Duration maximumAge) {
-        List<FactItem> held = items.stream()
-                .filter(item -> wasHeldBefore(item, completeBefore))
-                .toList();
-        List<FactItem> published = items.stream()
-                .filter(item -> !wasHeldBefore(item, completeBefore))
-                .toList();
+        Map<Boolean, List<FactItem>> byHeldBefore =
+                items.stream().collect(Collectors.partitioningBy(item -> wasHeldBefore(item, completeBefore)));
+        List<FactItem> held = byHeldBefore.get(true);
         if (!held.isEmpty()) {
             runGuarded(() -> listener.itemsChanged(held, AGE_UNKNOWN));
         }
-        runGuarded(() -> listener.itemsChanged(published, maximumAge));
+        runGuarded(() -> listener.itemsChanged(byHeldBefore.get(false), maximumAge));
         runGuarded(refreshed);
     }
 
