Soak: health checks and requests for another upstream are handled in UpstreamSocket, for upstreams with and without engines

RecordingEngine had copied them from RecordingUpstream. The name of the model is one public constant instead of a constant and a method, and scenarios without engines start no thread for load reports.

--- a/bench/src/main/java/org/galenahinge/bench/soak/EngineReports.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/EngineReports.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.galenahinge.standins.platform.EntryFleetStandIn;
 import org.galenahinge.standins.platform.RecordingEngine;
 import org.galenahinge.wire.generated.SlotLoad;
 
@@ -16,13 +17,11 @@
 
     private final List<RecordingEngine> engines;
     private final List<InetSocketAddress> receivers;
-    private final String model;
     private final DatagramSocket socket = new DatagramSocket();
 
-    EngineReports(List<RecordingEngine> engines, List<InetSocketAddress> receivers, String model) throws IOException {
+    EngineReports(List<RecordingEngine> engines, List<InetSocketAddress> receivers) throws IOException {
         this.engines = List.copyOf(engines);
         this.receivers = List.copyOf(receivers);
-        this.model = model;
     }
 
     /** Sends reports until it is interrupted. */
@@ -59,7 +58,7 @@
                 .setWaiting(report.waiting())
                 .setPace(1)
                 .setLoading(report.loading())
-                .setModel(model)
+                .setModel(EntryFleetStandIn.MODEL)
                 .setVersion(report.version())
                 .setSharePosition(position)
                 .setShareReceivers(receivers.size())
--- a/bench/src/main/java/org/galenahinge/bench/soak/Rollout.java
+++ b/bench/src/main/java/org/galenahinge/bench/soak/Rollout.java
@@ -33,9 +33,10 @@
         this.timeline = timeline;
         this.reports = new EngineReports(
                 fleet.engines(),
-                IntStream.range(0, entries).mapToObj(fleet::loadAddress).toList(),
-                fleet.model());
-        threads.execute(() -> runUntilInterrupted(reports::sendAll));
+                IntStream.range(0, entries).mapToObj(fleet::loadAddress).toList());
+        if (!fleet.engines().isEmpty()) {
+            threads.execute(() -> runUntilInterrupted(reports::sendAll));
+        }
     }
 
     /** Work that may be interrupted. */
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/EntryFleetStandIn.java
@@ -35,7 +35,9 @@
     /** The time after the naming of a version from which on no request begins on an older one, in milliseconds. */
     public static final int VERSION_MILLIS = 4_000;
 
-    static final String MODEL = "m";
+    /** The name of the model that the engines serve. */
+    public static final String MODEL = "m";
+
     static final String HOST = "desk.example";
     static final String KEY = "key-of-a-tenant";
     private static final String SERVICE = "work";
@@ -109,15 +111,6 @@
         return new InetSocketAddress(ip(entry), firstPort + 5);
     }
 
-    /**
-     * Returns the name of the model that the engines serve.
-     *
-     * @return the name
-     */
-    public String model() {
-        return MODEL;
-    }
-
     /** Publishes a config that differs from the one before in its version and in a route that no caller uses. */
     public void publishNextConfig() {
         version++;
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/RecordingEngine.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/RecordingEngine.java
@@ -51,7 +51,7 @@
         this.id = Objects.requireNonNull(id, "id");
         this.runs = Objects.requireNonNull(runs, "runs");
         this.loaded = Objects.requireNonNull(loaded, "loaded");
-        this.socket = new UpstreamSocket(id, this::handle);
+        this.socket = new UpstreamSocket(id, this::run);
         socket.start();
     }
 
@@ -178,18 +178,9 @@
         notifyAll();
     }
 
-    /** Returns whether the connection may be used again. */
-    private boolean handle(ReceivedMessage request, UpstreamConnection connection) throws IOException {
-        String requestId = request.header("Attempt-Id");
-        if (requestId.isEmpty() || !request.secondWord().contains("/work?")) {
-            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-            return true;
-        }
-        if (!request.header("Expect-Instance").equals(id)) {
-            connection.reject(requestId, 421, "");
-            return true;
-        }
-        new Run(WorkOrder.parse(requestId, request.secondWord()), request, connection).perform();
+    /** Returns whether the connection may be used again, which it always may. */
+    private boolean run(WorkOrder order, ReceivedMessage request, UpstreamConnection connection) throws IOException {
+        new Run(order, request, connection).perform();
         return true;
     }
 
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/RecordingUpstream.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/RecordingUpstream.java
@@ -27,7 +27,7 @@
     public RecordingUpstream(String id, BiConsumer<String, UpstreamRun> runs) throws IOException {
         this.id = Objects.requireNonNull(id, "id");
         this.runs = Objects.requireNonNull(runs, "runs");
-        this.socket = new UpstreamSocket(id, this::handle);
+        this.socket = new UpstreamSocket(id, this::run);
         socket.start();
     }
 
@@ -74,19 +74,6 @@
     }
 
     /** Returns whether the connection may be used again. */
-    private boolean handle(ReceivedMessage request, UpstreamConnection connection) throws IOException {
-        String requestId = request.header("Attempt-Id");
-        if (requestId.isEmpty() || !request.secondWord().contains("/work?")) {
-            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-            return true;
-        }
-        if (!request.header("Expect-Instance").equals(id)) {
-            connection.reject(requestId, 421, "");
-            return true;
-        }
-        return run(WorkOrder.parse(requestId, request.secondWord()), request, connection);
-    }
-
     private boolean run(WorkOrder order, ReceivedMessage request, UpstreamConnection connection) throws IOException {
         long arrival = System.nanoTime();
         boolean executes = order.deed() != WorkOrder.Deed.REJECT;
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamSocket.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamSocket.java
@@ -7,37 +7,41 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A loopback port on which an upstream takes requests, with a thread for each connection. */
+/**
+ * A loopback port on which an upstream takes work, with a thread for each connection. It answers health checks, and rejects
+ * requests for another upstream.
+ */
 final class UpstreamSocket implements AutoCloseable {
     private static final int BACKLOG = 128;
 
-    private final String name;
+    private final String id;
     private final Handler handler;
     private final ServerSocket socket;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-    /** What an upstream does with a request. */
+    /** What an upstream does with a request for work. */
     @FunctionalInterface
     interface Handler {
         /**
          * Responds to a request.
          *
+         * @param order the work that it asks for
          * @param request the whole request
          * @param connection its connection
          * @return whether the connection may be used again
          * @throws IOException if the connection fails
          */
-        boolean handle(ReceivedMessage request, UpstreamConnection connection) throws IOException;
+        boolean handle(WorkOrder order, ReceivedMessage request, UpstreamConnection connection) throws IOException;
     }
 
-    UpstreamSocket(String name, Handler handler) throws IOException {
-        this.name = name;
+    UpstreamSocket(String id, Handler handler) throws IOException {
+        this.id = id;
         this.handler = handler;
         this.socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     }
 
     void start() {
-        startThread("upstream " + name, this::accept);
+        startThread("upstream " + id, this::accept);
     }
 
     int port() {
@@ -70,18 +74,32 @@
             try {
                 Socket connection = socket.accept();
                 connections.add(connection);
-                startThread("connection of " + name, () -> serve(connection));
+                startThread("connection of " + id, () -> serve(connection));
             } catch (IOException e) {
                 return;
             }
         }
     }
 
+    /** Returns whether the connection may be used again. */
+    private boolean respond(ReceivedMessage request, UpstreamConnection connection) throws IOException {
+        String requestId = request.header("Attempt-Id");
+        if (requestId.isEmpty() || !request.secondWord().contains("/work?")) {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        if (!request.header("Expect-Instance").equals(id)) {
+            connection.reject(requestId, 421, "");
+            return true;
+        }
+        return handler.handle(WorkOrder.parse(requestId, request.secondWord()), request, connection);
+    }
+
     private void serve(Socket accepted) {
         try (accepted) {
             UpstreamConnection connection = new UpstreamConnection(accepted);
             ReceivedMessage request = connection.read();
-            while (request.end() == ReceivedMessage.End.COMPLETE && handler.handle(request, connection)) {
+            while (request.end() == ReceivedMessage.End.COMPLETE && respond(request, connection)) {
                 request = connection.read();
             }
         } catch (IOException e) {
