--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -106,6 +106,22 @@
         return upstream;
     }
 
+    /**
+     * Writes the record of an upstream that a test runs itself. It has 16 slots and version 1 of the weights.
+     *
+     * @param id the upstream's id
+     * @param service the name of its service
+     * @param port the port on which it listens on the loopback address
+     */
+    public void putUpstream(String id, String service, int port) {
+        store.put(
+                "servers/" + id,
+                "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port
+                        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\","
+                        + "\"cold_remaining_ms\":0,\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
+                        + "\"layers\":{\"from\":0,\"to\":16,\"version\":1},\"seq\":0,\"born\":1}");
+    }
+
     /**
      * Publishes a config with one route of each kind.
      *
