Crashes are attributed to the fewest causes, so that repeated requests do not explain a part away

What callers saw: prompts with a part that crashes engines went on reaching engines long after the fifth crash (BUDGET), and sound requests were rejected although their parts are sound.

Cause: CrashAttribution looked for whole requests first. In a wave of crashes each request that is sent again, sound or not, is soon there at three of them. Several such requests together explained the crashes of the one part, which was then dropped, and the sound ones were put into quarantine.

Change: causes of both kinds are compared in each step, and the one that explains most of the unexplained crashes is taken. A request is preferred to a part that explains at most one crash more, since other requests may contain the part.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashAttribution.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashAttribution.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,12 +11,13 @@
 import org.galenahinge.quarantine.RequestTrait.Kind;
 
 /**
- * Finds what explains the crashes of upstreams: requests that were sent again and again, and parts of prompts. The part
- * that explains most crashes is found first; the crashes that it explains speak against no other part, which was only there
- * at the same time.
+ * Finds the fewest causes that explain the crashes of upstreams: requests that were sent again and again, and parts of
+ * prompts. The one that explains most crashes is found first; the crashes that it explains speak against no other, which was
+ * only there at the same time.
  *
- * <p>A request that was there often enough is a cause by itself. It explains the parts that were there at hardly any other
- * crash.
+ * <p>A request that explains hardly fewer crashes than any part is the cause rather than the part, which other requests
+ * may contain. A part that explains more is the cause of those of the request, too: among many crashes, a request that is
+ * sent again is soon there at several, whether or not it has the part.
  *
  * <p>Parts that explain the same crashes form one cause together: only requests that contain all of them are known to crash
  * engines. The next request with some of them decides which one it was.
@@ -29,8 +29,8 @@
     /** The number of crashes after which there is no doubt about a cause. */
     static final int CERTAIN_CRASHES = 5;
 
-    /** The number of crashes that no request explains which make a part that was there at enough others a cause, too. */
-    private static final int MINIMUM_CRASHES_WITHOUT_REQUEST = 2;
+    /** By how many crashes a part must explain more than any request to be the cause in its place. */
+    private static final int MINIMUM_CRASHES_BEYOND_REQUEST = 2;
 
     private CrashAttribution() {}
 
@@ -50,46 +50,51 @@
         }
     }
 
-    /** Finds the causes of crashes: requests, then parts of prompts, of which those that explain most come first. */
+    /** Finds the causes of crashes; those that explain most come first. */
     static List<Cause> causes(Collection<Crash> crashes) {
-        List<Set<RequestTrait>> remaining =
-                crashes.stream().map(Crash::remaining).toList();
-        Map<RequestTrait, Set<Integer>> requests = crashesByTrait(remaining, Kind.WHOLE_REQUEST);
-        requests.values().removeIf(explained -> explained.size() < MINIMUM_CRASHES);
-        List<Cause> causes = new ArrayList<>();
-        requests.forEach((request, explained) -> causes.add(new Cause(Set.of(request), explained.size())));
-        causes.addAll(causesAmongParts(remaining, requests.values()));
-        return causes;
-    }
-
-    private static List<Cause> causesAmongParts(
-            List<Set<RequestTrait>> remaining, Collection<Set<Integer>> explainedByRequests) {
-        List<Set<RequestTrait>> unexplained = new ArrayList<>(remaining);
+        List<Set<RequestTrait>> unexplained =
+                new ArrayList<>(crashes.stream().map(Crash::remaining).toList());
         List<Cause> causes = new ArrayList<>();
         while (true) {
-            Map<RequestTrait, Set<Integer>> crashesByPart = crashesByTrait(unexplained, Kind.PROMPT_PART);
-            crashesByPart.values().removeIf(explained -> isExplained(explained, explainedByRequests));
-            int most = crashesByPart.values().stream().mapToInt(Set::size).max().orElse(0);
-            if (most < MINIMUM_CRASHES) {
+            List<Cause> next = nextCauses(unexplained);
+            if (next.isEmpty()) {
                 return causes;
             }
-            Map<Set<Integer>, Set<RequestTrait>> candidates = candidates(crashesByPart, most);
-            if (most < CERTAIN_CRASHES && overlap(candidates.keySet())) {
-                return causes;
-            }
-            candidates.forEach((explained, parts) -> {
-                causes.add(new Cause(parts, most));
-                explained.forEach(index -> unexplained.set(index, Set.of()));
-            });
+            causes.addAll(next);
+            unexplained.replaceAll(traits -> containsAny(traits, next) ? Set.of() : traits);
+        }
+    }
+
+    /** Returns what explains most of some crashes; empty if nothing explains enough, or more than one thing does. */
+    private static List<Cause> nextCauses(List<Set<RequestTrait>> unexplained) {
+        Map<RequestTrait, Set<Integer>> requests = crashesByTrait(unexplained, Kind.WHOLE_REQUEST);
+        Map<RequestTrait, Set<Integer>> parts = crashesByTrait(unexplained, Kind.PROMPT_PART);
+        int mostByRequest = most(requests);
+        int mostByPart = most(parts);
+        if (mostByRequest >= MINIMUM_CRASHES && mostByPart < mostByRequest + MINIMUM_CRASHES_BEYOND_REQUEST) {
+            return requests.entrySet().stream()
+                    .filter(request -> request.getValue().size() == mostByRequest)
+                    .map(request -> new Cause(Set.of(request.getKey()), mostByRequest))
+                    .toList();
+        }
+        if (mostByPart < MINIMUM_CRASHES) {
+            return List.of();
         }
+        Map<Set<Integer>, Set<RequestTrait>> candidates = candidates(parts, mostByPart);
+        if (mostByPart < CERTAIN_CRASHES && overlap(candidates.keySet())) {
+            return List.of();
+        }
+        return candidates.values().stream()
+                .map(together -> new Cause(together, mostByPart))
+                .toList();
+    }
+
+    private static int most(Map<RequestTrait, Set<Integer>> crashesByTrait) {
+        return crashesByTrait.values().stream().mapToInt(Set::size).max().orElse(0);
     }
 
-    /** Tells whether requests explain so many of the crashes at which a part was there that the part is no cause. */
-    private static boolean isExplained(Set<Integer> crashes, Collection<Set<Integer>> explainedByRequests) {
-        Set<Integer> others = new HashSet<>(crashes);
-        explainedByRequests.forEach(others::removeAll);
-        int needed = crashes.size() < CERTAIN_CRASHES ? MINIMUM_CRASHES : MINIMUM_CRASHES_WITHOUT_REQUEST;
-        return others.size() < needed;
+    private static boolean containsAny(Set<RequestTrait> traits, Collection<Cause> causes) {
+        return causes.stream().anyMatch(cause -> traits.containsAll(cause.traits()));
     }
 
     private static Map<RequestTrait, Set<Integer>> crashesByTrait(List<Set<RequestTrait>> unexplained, Kind kind) {
