A response without a valid status is handled like bytes that are no response

What callers saw: an upstream that answered `HTTP/1.1 000 OK`, `00`, `0`, `20`, `99`, `600`, `999` or `2000`, with sound headers, signature and body, had this status passed on as the entry's own (order and lookup; `000` as `0`), which most HTTP clients reject. Idempotent requests and new streams were not retried. `0200` and `+200` were passed on as 200, and `0200` was taken to continue a stream. A 101 was skipped like other informational responses: the order ended only at its deadline (1.5 s in the test), the lookup was retried after 0.75 s, the stream after 1.3 s. Codes below 0, not digits, and a status line without a code failed as they must. Calls through Exchange and KeepAliveClient use the same connection.

Cause: the decoder reads the code as a number and accepts any that is not negative; nothing checked the number afterwards.

Evidence: InvalidStatusTest of `http` (14 of 31 failed before) and of `platform` (26 of 49 failed before, over real entries and raw server sockets: requests that may run once, idempotent ones, first and continued streams).

Change: StatusCode decides, from the text of the code. ResponseDecoder fails for a status line with another one, so that the attempt ends with outcome unknown and the connection is closed, for all clients. 101 is among them, since no request asks for an upgrade.

Run: InvalidStatusTest (31 and 49), StatusCodeTest, IncompleteResponseTest, EndlessResponseTest, RepeatedResponseTest and KeepAliveClientTest, green.

--- a/galenahinge/src/main/java/org/galenahinge/http/ResponseDecoder.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/ResponseDecoder.java
@@ -30,6 +30,15 @@
         return !isContentAlwaysEmpty(response);
     }
 
+    /** Fails for a status line without a valid status; the decoder reports that and decodes nothing more. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        StatusCode.faultOf(initialLine[1]).ifPresent(fault -> {
+            throw new IllegalArgumentException(fault);
+        });
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean informational = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
