NamedLimits carries the limit of cold upstreams, with turns that keep to the bound of each second

The rate and the validity of the turns are derived from the bounds, so that no second has more requests than allowed where entries disagree on the start of the turns by up to a second. With the validity of named limits and the full rate, ColdLimitFleetTest saw up to 47 requests in a second at 150 entries, of 26 allowed. LimitGossip tells the start of the turns at cold upstreams.

--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -7,23 +7,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.galenahinge.limit.TurnStarts.AgedStart;
 
 /**
- * The limits that upstreams name: how many requests a second one of them accepts from all nodes together. The nodes take turns
- * by their positions, beginning when the limit was first named, so that each knows its own turns without asking. A turn
+ * The limits of upstreams: how many requests a second one of them accepts from all nodes together. An upstream has a limit
+ * because it names one in its responses, or because it is cold; if it has both, the lower one counts. The nodes take turns
+ * by their positions, beginning when the limit was first known, so that each knows its own turns without asking. A turn
  * that is not used lapses.
  *
  * <p>Not thread-safe.
  */
 public final class NamedLimits {
     private static final int MAXIMUM_UPSTREAMS = 4_096;
-    private static final double NANOS_PER_SECOND = 1e9;
-
-    /** A turn that was used counts as used although its time was rounded to nanoseconds; in turns. */
-    private static final double ROUNDING = 1e-6;
-
     /** How long a turn may be used, so that all nodes together do not save up more than this times the limit. */
     private static final Duration TURN_VALIDITY = Duration.ofMillis(1_500);
 
@@ -34,10 +33,14 @@
     private static final Duration RETENTION = Duration.ofMinutes(5);
 
     private final Supplier<Position> position;
+    private final Supplier<Optional<Position>> coldPosition;
     private final Map<Long, State> states = new HashMap<>();
+    private final Map<Long, ColdPeriod> coldPeriods = new HashMap<>();
+    private final TurnStarts coldStarts = new TurnStarts();
 
-    private NamedLimits(Supplier<Position> position) {
+    private NamedLimits(Supplier<Position> position, Supplier<Optional<Position>> coldPosition) {
         this.position = position;
+        this.coldPosition = coldPosition;
     }
 
     /**
@@ -47,7 +50,21 @@
      * @return the limits
      */
     public static NamedLimits create(Supplier<Position> position) {
-        return new NamedLimits(Objects.requireNonNull(position, "position"));
+        Objects.requireNonNull(position, "position");
+        return create(position, () -> Optional.of(position.get()));
+    }
+
+    /**
+     * Creates an empty set of limits.
+     *
+     * @param position returns the position of this node among those that send requests
+     * @param coldPosition returns the position by which this node takes turns at cold upstreams, empty while it is not known
+     *     well enough to send them anything
+     * @return the limits
+     */
+    public static NamedLimits create(Supplier<Position> position, Supplier<Optional<Position>> coldPosition) {
+        return new NamedLimits(
+                Objects.requireNonNull(position, "position"), Objects.requireNonNull(coldPosition, "coldPosition"));
     }
 
     /**
@@ -111,16 +128,42 @@
     }
 
     /**
-     * Returns whether no upstream has named a limit.
+     * The time in which an upstream is cold.
+     *
+     * @param rate the turns there
+     * @param firstTurnNanos turns that begin before are not used, in nanoseconds
+     * @param endNanos when it ends, in nanoseconds
+     */
+    public record ColdPeriod(TurnRate rate, long firstTurnNanos, long endNanos) {
+        /** Rejects null components. */
+        public ColdPeriod {
+            Objects.requireNonNull(rate, "rate");
+        }
+
+        private ColdPeriod used(long turnNanos) {
+            long next = turnNanos + 1;
+            return next - firstTurnNanos > 0 ? new ColdPeriod(rate, next, endNanos) : this;
+        }
+    }
+
+    /** The turns that count at an upstream now, and the position of this node in them. */
+    private record Turns(TurnSchedule schedule, Optional<Position> position, long usedNanos) {
+        OptionalLong next(long nowNanos) {
+            return position.isEmpty() ? OptionalLong.empty() : schedule.nextTurn(position.get(), usedNanos, nowNanos);
+        }
+    }
+
+    /**
+     * Returns whether no upstream has a limit.
      *
      * @return whether every request is allowed
      */
     public boolean isEmpty() {
-        return states.isEmpty();
+        return states.isEmpty() && coldPeriods.isEmpty();
     }
 
     /**
-     * Returns the number of limits that are held, ended ones included.
+     * Returns the number of named limits that are held, ended ones included.
      *
      * @return the number, which is bounded
      */
@@ -180,33 +223,100 @@
         }
     }
 
+    /**
+     * Records that an upstream is cold. Replaces what was known of that; turns that were used stay used.
+     *
+     * @param upstream identifies the incarnation of the upstream
+     * @param period the time in which it is cold
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void setCold(long upstream, ColdPeriod period, long nowNanos) {
+        coldStarts.begin(upstream, nowNanos);
+        ColdPeriod known = coldPeriods.get(upstream);
+        coldPeriods.put(upstream, known == null ? period : period.used(known.firstTurnNanos() - 1));
+    }
+
+    /**
+     * Records that an upstream is not cold, or is gone.
+     *
+     * @param upstream identifies the incarnation of the upstream
+     */
+    public void setWarm(long upstream) {
+        coldPeriods.remove(upstream);
+    }
+
+    /**
+     * Returns whether an upstream is cold.
+     *
+     * @param upstream identifies the incarnation of the upstream
+     * @param nowNanos the time, in nanoseconds
+     * @return whether its cold period has not ended
+     */
+    public boolean isCold(long upstream, long nowNanos) {
+        return coldPeriod(upstream, nowNanos).isPresent();
+    }
+
+    /**
+     * Adds when another node began to take turns at a cold upstream.
+     *
+     * @param told the start
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void addColdStart(AgedStart told, long nowNanos) {
+        coldStarts.add(told, nowNanos);
+    }
+
+    /**
+     * Returns when turns at cold upstreams began, as far as this node has learnt something new.
+     *
+     * @param since how long ago at most
+     * @param nowNanos the time, in nanoseconds
+     * @return the starts, a bounded number
+     */
+    public List<AgedStart> coldStartsChangedWithin(Duration since, long nowNanos) {
+        return coldStarts.changedWithin(since, nowNanos);
+    }
+
+    /**
+     * Returns when turns at cold upstreams began.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @return all starts
+     */
+    public List<AgedStart> allColdStarts(long nowNanos) {
+        return coldStarts.all(nowNanos);
+    }
+
     /**
      * Returns whether this node may send a request to an upstream now.
      *
      * @param upstream identifies the incarnation of the upstream
      * @param nowNanos the time, in nanoseconds
-     * @return whether the upstream names no limit or this node has a turn
+     * @return whether the upstream has no limit or this node has a turn
      */
     public boolean allows(long upstream, long nowNanos) {
-        State known = states.get(upstream);
-        return known == null || !known.isNamed() || nextTurn(known, nowNanos).isPresent();
+        return turns(upstream, nowNanos)
+                .map(turns -> turns.next(nowNanos).isPresent())
+                .orElse(true);
     }
 
     /**
-     * Records that this node sent a request to an upstream, which uses a turn.
+     * Records that this node sends a request to an upstream, which uses a turn.
      *
      * @param upstream identifies the incarnation of the upstream
      * @param nowNanos the time, in nanoseconds
+     * @return when the turn lapses, in nanoseconds; empty if there was no limit or no turn
      */
-    public void recordSent(long upstream, long nowNanos) {
-        State known = states.get(upstream);
-        if (known == null || !known.isNamed()) {
-            return;
+    public OptionalLong recordSent(long upstream, long nowNanos) {
+        Optional<Turns> turns = turns(upstream, nowNanos);
+        OptionalLong turn = turns.map(known -> known.next(nowNanos)).orElse(OptionalLong.empty());
+        if (turn.isEmpty()) {
+            return turn;
         }
-        nextTurn(known, nowNanos).ifPresent(turn -> {
-            long turnNanos = known.firstNamedNanos() + (long) (turn * NANOS_PER_SECOND);
-            states.put(upstream, known.used(turnNanos));
-        });
+        long turnNanos = turn.getAsLong();
+        states.computeIfPresent(upstream, (key, known) -> known.used(turnNanos));
+        coldPeriods.computeIfPresent(upstream, (key, known) -> known.used(turnNanos));
+        return OptionalLong.of(turns.get().schedule().lapseNanos(turnNanos));
     }
 
     /**
@@ -245,25 +355,33 @@
         return changedWithin(Duration.ofDays(1), nowNanos);
     }
 
-    /**
-     * Returns the next turn of this node that has begun, has not lapsed and is not used.
-     *
-     * @return when it began, in seconds after the limit was first named; empty if there is no such turn
-     */
-    private OptionalDouble nextTurn(State known, long nowNanos) {
-        double limit = known.perSecond().orElse(0);
-        if (limit <= 0) {
-            return OptionalDouble.empty();
+    private Optional<Turns> turns(long upstream, long nowNanos) {
+        Optional<State> named = Optional.ofNullable(states.get(upstream)).filter(State::isNamed);
+        Optional<ColdPeriod> cold = coldPeriod(upstream, nowNanos);
+        if (cold.isEmpty()) {
+            return named.map(known ->
+                    new Turns(schedule(known, namedRate(known)), Optional.of(position.get()), known.lastTurnNanos()));
         }
-        Position own = position.get();
-        double interval = own.nodes() / limit;
-        double first = own.index() / limit;
-        double now = (nowNanos - known.firstNamedNanos()) / NANOS_PER_SECOND;
-        double used = (known.lastTurnNanos() - known.firstNamedNanos()) / NANOS_PER_SECOND;
-        double lapsed = Math.max(now - TURN_VALIDITY.toNanos() / NANOS_PER_SECOND, used);
-        double number = Math.max(0, Math.floor((lapsed - first) / interval + ROUNDING) + 1);
-        double turn = first + number * interval;
-        return turn <= now ? OptionalDouble.of(turn) : OptionalDouble.empty();
+        TurnRate rate = named.map(known -> namedRate(known).lower(cold.get().rate()))
+                .orElse(cold.get().rate());
+        boolean namedCounts =
+                named.isPresent() && rate.perSecond() < cold.get().rate().perSecond();
+        TurnSchedule schedule = namedCounts
+                ? schedule(named.get(), rate)
+                : new TurnSchedule(rate, coldStarts.startNanos(upstream, nowNanos));
+        return Optional.of(new Turns(schedule, coldPosition.get(), cold.get().firstTurnNanos() - 1));
+    }
+
+    private Optional<ColdPeriod> coldPeriod(long upstream, long nowNanos) {
+        return Optional.ofNullable(coldPeriods.get(upstream)).filter(period -> nowNanos - period.endNanos() < 0);
+    }
+
+    private static TurnRate namedRate(State named) {
+        return new TurnRate(named.perSecond().orElse(0), TURN_VALIDITY);
+    }
+
+    private static TurnSchedule schedule(State named, TurnRate rate) {
+        return new TurnSchedule(rate, named.firstNamedNanos());
     }
 
     private void put(long upstream, State state) {
--- a/galenahinge/src/main/java/org/galenahinge/node/LimitGossip.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LimitGossip.java
@@ -1,16 +1,27 @@
 package org.galenahinge.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalDouble;
 import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.limit.NamedLimits.AgedLimit;
+import org.galenahinge.limit.TurnStarts.AgedStart;
 import org.galenahinge.wire.generated.GossipRecord;
 import org.galenahinge.wire.generated.LimitRecord;
 
-/** Exchanges the limits that upstreams name among the entries, so that all of them share the same ones. Not thread-safe. */
+/**
+ * Exchanges the limits that upstreams name, and when the turns at cold upstreams began, among the entries, so that all of them
+ * share the same ones. Not thread-safe.
+ */
 final class LimitGossip implements GossipSource {
+    /**
+     * A record with this revision and without a limit tells when the turns at a cold upstream began; the revisions of named
+     * limits begin at 1. Entries that do not know such records take them for a limit that has ended.
+     */
+    private static final long COLD_START_REVISION = 0;
+
     private final NamedLimits limits;
 
     LimitGossip(NamedLimits limits) {
@@ -19,12 +30,12 @@
 
     @Override
     public List<GossipRecord> changedWithin(Duration since, long nowNanos) {
-        return encode(limits.changedWithin(since, nowNanos));
+        return encode(limits.changedWithin(since, nowNanos), limits.coldStartsChangedWithin(since, nowNanos));
     }
 
     @Override
     public List<GossipRecord> all(long nowNanos) {
-        return encode(limits.all(nowNanos));
+        return encode(limits.all(nowNanos), limits.allColdStarts(nowNanos));
     }
 
     @Override
@@ -38,6 +49,11 @@
         if (!isValid) {
             return;
         }
+        if (encoded.getRevision() == COLD_START_REVISION && !encoded.getNamed()) {
+            limits.addColdStart(
+                    new AgedStart(encoded.getUpstream(), Duration.ofMillis(encoded.getAgeMillis())), nowNanos);
+            return;
+        }
         AgedLimit limit = new AgedLimit(
                 encoded.getUpstream(),
                 encoded.getRevision(),
@@ -47,8 +63,21 @@
         limits.add(limit, nowNanos);
     }
 
-    private static List<GossipRecord> encode(List<AgedLimit> aged) {
-        return aged.stream().map(LimitGossip::encode).toList();
+    private static List<GossipRecord> encode(List<AgedLimit> aged, List<AgedStart> starts) {
+        List<GossipRecord> records = new ArrayList<>(aged.size() + starts.size());
+        aged.forEach(limit -> records.add(encode(limit)));
+        starts.forEach(start -> records.add(encode(start)));
+        return records;
+    }
+
+    private static GossipRecord encode(AgedStart start) {
+        LimitRecord record = LimitRecord.newBuilder()
+                .setUpstream(start.upstream())
+                .setRevision(COLD_START_REVISION)
+                .setNamed(false)
+                .setAgeMillis(start.age().toMillis())
+                .build();
+        return GossipRecord.newBuilder().setLimit(record).build();
     }
 
     private static GossipRecord encode(AgedLimit aged) {
