--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -61,6 +61,7 @@
     private boolean done;
     private boolean sent;
     private boolean reused;
+    private OptionalLong turnLapseNanos = OptionalLong.empty();
     private int events;
     private int bytesWithoutEvent;
     private long firstByteNanos;
@@ -81,8 +82,15 @@
         this.placedVersion = Math.max(exactVersion.orElse(0L), believedVersion(candidate));
     }
 
-    void start(Optional<HttpConnection> pooled) {
+    /**
+     * Sends the request, on a new connection if none is given.
+     *
+     * @param pooled a connection of the pool
+     * @param turnLapse when the turn lapses that the request has at an upstream with a limit, in nanoseconds
+     */
+    void start(Optional<HttpConnection> pooled, OptionalLong turnLapse) {
         reused = pooled.isPresent();
+        turnLapseNanos = turnLapse;
         if (pooled.isPresent()) {
             onConnected(pooled.get());
         } else {
@@ -106,6 +114,10 @@
                     open, Outcome.NOT_SENT, "the weights of the upstream were outdated before its connection was open");
             return;
         }
+        if (!reused && !request.gateway().limits().maySend(candidate.upstream(), turnLapseNanos)) {
+            endUnsent(open, Outcome.NOT_SENT, "the upstream is cold, and this node has no turn there");
+            return;
+        }
         if (!request.tryCountAttempt()) {
             endUnsent(open, Outcome.NOT_RUN, "the retry budget is exhausted");
             return;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -365,13 +365,13 @@
         currentAttempt = Optional.of(next);
         requestLog.placed(chosen, attempts, waitedMillis);
         queue.rate().recordPlaced(gateway.timers().nanoTime());
-        gateway.recordSent(candidate.upstream());
+        OptionalLong turnLapseNanos = gateway.limits().recordPlaced(candidate.upstream());
         int prompt = request.metadata().prompt().map(PromptShape::promptTokens).orElse(0);
         candidate.load().recordSent(next, prompt, gateway.timers().nanoTime());
         double idleShare = admitted.route().kind().isIdempotent() ? IDEMPOTENT_IDLE_SHARE : NON_IDEMPOTENT_IDLE_SHARE;
         // Without an id, only the order of responses would tell one from that to an earlier request on the connection.
         boolean hasId = !request.requestId().isEmpty();
-        next.start(hasId ? pool.get().acquire(idleShare) : Optional.empty());
+        next.start(hasId ? pool.get().acquire(idleShare) : Optional.empty(), turnLapseNanos);
     }
 
     /** Counts an attempt; returns false, without counting, if the retry budget does not allow a retry. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -59,7 +59,8 @@
     private final UpstreamTable upstreams;
     private final CrashLedger crashLedger;
     private final CrashDetector crashDetector;
-    private final NamedLimits namedLimits;
+    private final ColdUpstreams coldUpstreams;
+    private final UpstreamLimits limits;
     private final UnstartedAttempts unstartedAttempts;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
@@ -85,14 +86,16 @@
         this.log = log;
         this.metrics = new GatewayMetrics(registry);
         this.nodes = nodes;
-        this.placement = Placement.create(settings.failureDomain(), nodes, this::isWithinLimit, seed);
+        this.coldUpstreams = new ColdUpstreams(namedLimits, settings.coldStartBounds(), timers, log);
+        this.limits = new UpstreamLimits(namedLimits, coldUpstreams, timers);
+        this.placement = Placement.create(settings.failureDomain(), nodes, limits, seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
-        this.namedLimits = namedLimits;
         this.unstartedAttempts = new UnstartedAttempts(timers, this::versionRequiredToBegin);
         this.crashDetector = new CrashDetector(crashLedger, timers, log);
         registry.gauge("upstream.known", () -> upstreams::size);
+        registry.gauge("upstreams.cold", () -> coldUpstreams::count);
     }
 
     /**
@@ -140,6 +143,7 @@
     /** Applies changed facts: updates the upstreams, then starts requests that wait for a configuration or a slot. */
     public void factsChanged() {
         upstreams.refresh(facts.upstreams());
+        coldUpstreams.refresh(facts.upstreams(), facts.catalog());
         if (facts.catalog().isPresent()) {
             List<ForwardedRequest> starting = List.copyOf(awaitingConfiguration);
             awaitingConfiguration.clear();
@@ -227,9 +231,7 @@
 
     /** Records whether a response of an upstream named a limit. */
     void recordLimit(Upstream upstream, OptionalDouble perSecond) {
-        if (perSecond.isPresent() || !namedLimits.isEmpty()) {
-            namedLimits.recordResponse(upstream.incarnationKey(), perSecond, timers.nanoTime());
-        }
+        limits.recordResponse(upstream, perSecond);
     }
 
     /** Records that an upstream wants no requests from this node for a time. */
@@ -251,11 +253,9 @@
         return placement.returnNanos(upstreamsOf(service), timers.nanoTime());
     }
 
-    /** Records that a request is sent to an upstream, which counts towards the limit that it may have named. */
-    void recordSent(Upstream upstream) {
-        if (!namedLimits.isEmpty()) {
-            namedLimits.recordSent(upstream.incarnationKey(), timers.nanoTime());
-        }
+    /** Returns the limits of upstreams, towards which each request counts. */
+    UpstreamLimits limits() {
+        return limits;
     }
 
     double randomFraction() {
@@ -299,10 +299,6 @@
                 timers.nanoTime());
     }
 
-    private boolean isWithinLimit(Upstream upstream, long nowNanos) {
-        return namedLimits.isEmpty() || namedLimits.allows(upstream.incarnationKey(), nowNanos);
-    }
-
     private ServiceUpstreams upstreamsOf(String service) {
         Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
         return new ServiceUpstreams(upstreams.candidates(service), engine);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/GatewaySettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.galenahinge.limit.ColdStartBounds;
 import org.galenahinge.placement.ServiceRetryBudget;
 
 /**
@@ -10,11 +11,28 @@
  * @param failureDomain the failure domain of this VM
  * @param retryBudget the limit on retries of each service, over all nodes
  * @param versionRollout how long after a version is named all requests must start on it, at the latest
+ * @param coldStartBounds how many requests may reach a cold upstream
  */
-public record GatewaySettings(String failureDomain, ServiceRetryBudget.Limits retryBudget, Duration versionRollout) {
+public record GatewaySettings(
+        String failureDomain,
+        ServiceRetryBudget.Limits retryBudget,
+        Duration versionRollout,
+        ColdStartBounds coldStartBounds) {
     public GatewaySettings {
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(versionRollout, "versionRollout");
+        Objects.requireNonNull(coldStartBounds, "coldStartBounds");
+    }
+
+    /**
+     * Creates settings with the default bounds for cold upstreams.
+     *
+     * @param failureDomain the failure domain of this VM
+     * @param retryBudget the limit on retries of each service, over all nodes
+     * @param versionRollout how long after a version is named all requests must start on it, at the latest
+     */
+    public GatewaySettings(String failureDomain, ServiceRetryBudget.Limits retryBudget, Duration versionRollout) {
+        this(failureDomain, retryBudget, versionRollout, ColdStartBounds.DEFAULT);
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -29,6 +29,7 @@
 import org.galenahinge.gateway.StopSchedule;
 import org.galenahinge.http.HttpDocument;
 import org.galenahinge.http.HttpServer;
+import org.galenahinge.limit.ColdStartBounds;
 import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
@@ -63,6 +64,7 @@
     private final WeightsServer weightsServer;
     private final Gateway gateway;
     private final CrashLedger crashLedger;
+    private final SettledPosition coldPosition;
     private final NamedLimits namedLimits;
     private final EntryGossip gossip;
     private DatagramNetwork gossipDatagrams;
@@ -93,10 +95,14 @@
                 platform.store(threads), new EntryPeers(), items, this::itemsChanged, timers, log, seed);
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
         GatewaySettings gatewaySettings = new GatewaySettings(
-                settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout());
+                settings.zone(),
+                settings.retryBudget(),
+                settings.bounds().versionSwitchTimeout(),
+                settings.coldStartBounds().orElse(ColdStartBounds.DEFAULT));
         this.crashLedger = CrashLedger.create(
                 part -> roster.assigneeOf("trial/" + part).filter(self::equals).isPresent());
-        this.namedLimits = NamedLimits.create(() -> roster.positionOf(self));
+        this.coldPosition = new SettledPosition(roster, self, membership::isSettled, timers);
+        this.namedLimits = NamedLimits.create(() -> roster.positionOf(self), coldPosition::get);
         this.gossip = new EntryGossip(
                 self,
                 roster,
@@ -363,6 +369,7 @@
     }
 
     private void rosterChanged() {
+        coldPosition.rosterChanged();
         log.event(Category.BELIEF, "entries_up")
                 .with("count", roster.up().size())
                 .write();
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.galenahinge.limit.ColdStartBounds;
 import org.galenahinge.placement.ServiceRetryBudget;
 import org.galenahinge.wire.WireAddress;
 
@@ -22,6 +23,7 @@
  * @param upstream the address of the upstream on this VM, for a slot process
  * @param bounds the time bounds that the system keeps
  * @param retryBudget the retry budget of each service, for all entries together
+ * @param coldStartBounds how many requests may reach a cold upstream, empty for the default
  */
 public record NodeSettings(
         String name,
@@ -34,7 +36,8 @@
         List<WireAddress> seeds,
         Optional<WireAddress> upstream,
         Bounds bounds,
-        ServiceRetryBudget.Limits retryBudget) {
+        ServiceRetryBudget.Limits retryBudget,
+        Optional<ColdStartBounds> coldStartBounds) {
     /** Checks the components and copies the collections. */
     public NodeSettings {
         Objects.requireNonNull(name, "name");
@@ -45,10 +48,53 @@
         Objects.requireNonNull(upstream, "upstream");
         Objects.requireNonNull(bounds, "bounds");
         Objects.requireNonNull(retryBudget, "retryBudget");
+        Objects.requireNonNull(coldStartBounds, "coldStartBounds");
         regions = Map.copyOf(regions);
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * Creates settings with the default bounds for cold upstreams.
+     *
+     * @param name the name of this VM
+     * @param address the IP address of this VM
+     * @param zone the failure domain of this VM
+     * @param regions the region of each failure domain, by failure domain
+     * @param firstInternalPort the first of four consecutive ports for traffic between nodes and for metrics
+     * @param callerAddress the address where an entry listens for callers
+     * @param peerAddress the address where an entry listens for other nodes
+     * @param seeds addresses of entries to contact while no other entry is known
+     * @param upstream the address of the upstream on this VM, for a slot process
+     * @param bounds the time bounds that the system keeps
+     * @param retryBudget the retry budget of each service, for all entries together
+     */
+    public NodeSettings(
+            String name,
+            String address,
+            String zone,
+            Map<String, String> regions,
+            int firstInternalPort,
+            Optional<WireAddress> callerAddress,
+            Optional<WireAddress> peerAddress,
+            List<WireAddress> seeds,
+            Optional<WireAddress> upstream,
+            Bounds bounds,
+            ServiceRetryBudget.Limits retryBudget) {
+        this(
+                name,
+                address,
+                zone,
+                regions,
+                firstInternalPort,
+                callerAddress,
+                peerAddress,
+                seeds,
+                upstream,
+                bounds,
+                retryBudget,
+                Optional.empty());
+    }
+
     /**
      * The time bounds that the system keeps.
      *
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -26,6 +26,9 @@
     /** An upstream that has lately asked for time must be faster by this much to get a retry: it may reject it too. */
     private static final double RETRY_AT_RETURN_PENALTY_MILLIS = 400;
 
+    /** An upstream that has just become cold must be faster by this much to be chosen. */
+    private static final double COLD_PENALTY_MILLIS = 400;
+
     private static final int SLOTS_RESERVED_FOR_ON_TIME = 2;
     private static final double OVERRUN_WEIGHT = 0.3;
     private static final double TIE_MILLIS = 8;
@@ -62,7 +65,7 @@
         }
     }
 
-    /** The limits that upstreams name for the requests that they accept. */
+    /** The limits of upstreams for the requests that they accept. */
     @FunctionalInterface
     public interface UpstreamLimit {
         /**
@@ -73,6 +76,17 @@
          * @return whether it does
          */
         boolean allows(Upstream upstream, long nowNanos);
+
+        /**
+         * Returns the part of its cold time that an upstream still has ahead.
+         *
+         * @param upstream the upstream
+         * @param nowNanos the time, in nanoseconds
+         * @return from 0 for a warm upstream to 1 for one that has just become cold
+         */
+        default double coldShare(Upstream upstream, long nowNanos) {
+            return 0;
+        }
     }
 
     /**
@@ -304,7 +318,8 @@
         double overdue = candidate.load().isReportOverdue(nowNanos) ? OVERDUE_REPORT_PENALTY_MILLIS : 0;
         boolean mayRejectARetry =
                 !request.excluded().isEmpty() && candidate.load().pause().isReturning(nowNanos);
-        return domain + overdue + (mayRejectARetry ? RETRY_AT_RETURN_PENALTY_MILLIS : 0);
+        double cold = COLD_PENALTY_MILLIS * limit.coldShare(candidate.upstream(), nowNanos);
+        return domain + overdue + cold + (mayRejectARetry ? RETRY_AT_RETURN_PENALTY_MILLIS : 0);
     }
 
     private static String unavailableDetail(List<PlacementCandidate> candidates, PlacementRequest request) {
