Tests, operations and design of cold upstreams; a request without a turn may return to the upstream

The start of turns is dropped ten minutes after its last use on all entries, and has a replacement that does not change where it is not held. ColdStartBounds is in catalog, since the platform must not depend on limit.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -115,6 +115,7 @@
             return;
         }
         if (!reused && !request.gateway().limits().maySend(candidate.upstream(), turnLapseNanos)) {
+            request.mayReturnTo(candidate.upstream());
             endUnsent(open, Outcome.NOT_SENT, "the upstream is cold, and this node has no turn there");
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ColdUpstreams.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ColdUpstreams.java
@@ -12,9 +12,10 @@
 import org.galenahinge.catalog.ColdStart;
 import org.galenahinge.catalog.Service;
 import org.galenahinge.concurrent.Timers;
-import org.galenahinge.limit.ColdStartBounds;
+import org.galenahinge.catalog.ColdStartBounds;
 import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.limit.NamedLimits.ColdPeriod;
+import org.galenahinge.limit.TurnRate;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.upstream.Upstream;
 
@@ -31,7 +32,7 @@
     private final Timers timers;
     private final EventLog log;
     private final Map<String, ColdRecord> records = new HashMap<>();
-    private final Set<Long> warm = new HashSet<>();
+    private Map<String, Upstream> warm = Map.of();
 
     /** A record that gives a cold time. */
     private record ColdRecord(long incarnation, long revision, long endNanos, Duration total) {
@@ -50,7 +51,7 @@
     /** Applies the records of all upstreams, and the configuration that says how services warm up. */
     void refresh(Collection<Upstream> upstreams, Optional<Catalog> catalog) {
         Set<String> cold = new HashSet<>();
-        Set<Long> nowWarm = new HashSet<>();
+        Map<String, Upstream> nowWarm = new HashMap<>();
         for (Upstream upstream : upstreams) {
             Optional<ColdStart> coldStart = catalog.map(
                             known -> known.services().get(upstream.service()))
@@ -59,7 +60,7 @@
                 continue;
             }
             if (upstream.coldRemaining().isZero()) {
-                nowWarm.add(upstream.incarnationKey());
+                nowWarm.put(upstream.id(), upstream);
             } else {
                 cold.add(upstream.id());
                 apply(upstream, coldStart.get());
@@ -72,8 +73,7 @@
             }
             return gone;
         });
-        warm.clear();
-        warm.addAll(nowWarm);
+        warm = nowWarm;
     }
 
     /** Returns the part of its cold time that an upstream still has ahead, from 0 (warm) to 1. */
@@ -113,11 +113,11 @@
             limits.setWarm(upstream.incarnationKey());
             return;
         }
-        boolean servedWhileWarm = warm.contains(upstream.incarnationKey()) || (isKnown && !wasCold);
+        boolean servedWhileWarm = (isKnown && !wasCold) || wasWarm(upstream);
         long firstTurnNanos = servedWhileWarm ? now + PAUSE_BEFORE_FIRST_TURN.toNanos() : now;
         limits.setCold(
                 upstream.incarnationKey(),
-                new ColdPeriod(bounds.turnRate(coldStart.requestsPerSecond()), firstTurnNanos, endNanos),
+                new ColdPeriod(TurnRate.within(bounds, coldStart.requestsPerSecond()), firstTurnNanos, endNanos),
                 now);
         if (!wasCold) {
             log.event(EventLog.Category.BELIEF, "upstream_cold")
@@ -129,6 +129,11 @@
         }
     }
 
+    private boolean wasWarm(Upstream upstream) {
+        Upstream before = warm.get(upstream.id());
+        return before != null && before.isSameIncarnation(upstream);
+    }
+
     private static Duration longer(Duration first, Duration second) {
         return first.compareTo(second) < 0 ? second : first;
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -17,6 +17,7 @@
 import org.galenahinge.placement.RetryPolicy.Outcome;
 import org.galenahinge.placement.RetryPolicy.Progress;
 import org.galenahinge.quarantine.CrashLedger;
+import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.UpstreamPool;
 import org.galenahinge.upstream.WeightsVersion;
 
@@ -374,6 +375,11 @@
         next.start(hasId ? pool.get().acquire(idleShare) : Optional.empty(), turnLapseNanos);
     }
 
+    /** Allows another attempt at an upstream to which the last one sent nothing. */
+    void mayReturnTo(Upstream upstream) {
+        triedUpstreams.remove(upstream.id());
+    }
+
     /** Counts an attempt; returns false, without counting, if the retry budget does not allow a retry. */
     boolean tryCountAttempt() {
         if (attempts > 0) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/GatewaySettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/GatewaySettings.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
-import org.galenahinge.limit.ColdStartBounds;
+import org.galenahinge.catalog.ColdStartBounds;
 import org.galenahinge.placement.ServiceRetryBudget;
 
 /**
--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -32,6 +32,9 @@
     /** Limits that nobody has heard of for so long are dropped, those of upstreams that are gone among them. */
     private static final Duration RETENTION = Duration.ofMinutes(5);
 
+    /** Longer than any upstream is cold. */
+    private static final Duration MAXIMUM_COLD_TIME = Duration.ofDays(2);
+
     private final Supplier<Position> position;
     private final Supplier<Optional<Position>> coldPosition;
     private final Map<Long, State> states = new HashMap<>();
@@ -140,6 +143,11 @@
             Objects.requireNonNull(rate, "rate");
         }
 
+        /** Returns a start of the turns that does not change during the period, in nanoseconds. */
+        private long startNanos() {
+            return endNanos - MAXIMUM_COLD_TIME.toNanos();
+        }
+
         private ColdPeriod used(long turnNanos) {
             long next = turnNanos + 1;
             return next - firstTurnNanos > 0 ? new ColdPeriod(rate, next, endNanos) : this;
@@ -368,7 +376,7 @@
                 named.isPresent() && rate.perSecond() < cold.get().rate().perSecond();
         TurnSchedule schedule = namedCounts
                 ? schedule(named.get(), rate)
-                : new TurnSchedule(rate, coldStarts.startNanos(upstream, nowNanos));
+                : new TurnSchedule(rate, coldStarts.startNanos(upstream, cold.get().startNanos()));
         return Optional.of(new Turns(schedule, coldPosition.get(), cold.get().firstTurnNanos() - 1));
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/limit/TurnStarts.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/TurnStarts.java
@@ -26,20 +26,26 @@
      *
      * @param upstream identifies the incarnation of the upstream
      * @param age how long ago the turns began
+     * @param sinceUsed how long ago a node last knew that the upstream was cold
      */
-    public record AgedStart(long upstream, Duration age) {
-        /** Rejects a negative age. */
+    public record AgedStart(long upstream, Duration age, Duration sinceUsed) {
+        /** Rejects negative times. */
         public AgedStart {
             Objects.requireNonNull(age, "age");
-            if (age.isNegative()) {
-                throw new IllegalArgumentException("age must not be negative: " + age);
+            Objects.requireNonNull(sinceUsed, "sinceUsed");
+            if (age.isNegative() || sinceUsed.isNegative()) {
+                throw new IllegalArgumentException("times must not be negative: " + age + ", " + sinceUsed);
             }
         }
     }
 
     private record Start(long startNanos, long changedNanos, long usedNanos) {
-        Start used(long nowNanos) {
-            return new Start(startNanos, changedNanos, nowNanos);
+        Start used(long nanos) {
+            return new Start(startNanos, changedNanos, nanos - usedNanos > 0 ? nanos : usedNanos);
+        }
+
+        boolean isUnused(long nowNanos) {
+            return nowNanos - usedNanos >= RETENTION.toNanos();
         }
     }
 
@@ -56,11 +62,21 @@
     /** Adds what another node knows. */
     void add(AgedStart told, long nowNanos) {
         Start known = starts.get(told.upstream());
-        long startNanos = nowNanos - told.age().toNanos();
-        boolean isNew = known == null ? starts.size() < MAXIMUM_UPSTREAMS : startNanos - known.startNanos() < 0;
-        if (isNew) {
-            starts.put(told.upstream(), new Start(startNanos, nowNanos, nowNanos));
+        Start added = new Start(
+                nowNanos - told.age().toNanos(),
+                nowNanos,
+                nowNanos - told.sinceUsed().toNanos());
+        if (added.isUnused(nowNanos)) {
+            return;
+        }
+        if (known == null) {
+            if (starts.size() < MAXIMUM_UPSTREAMS) {
+                starts.put(told.upstream(), added);
+            }
+            return;
         }
+        Start earlier = added.startNanos() - known.startNanos() < 0 ? added : known;
+        starts.put(told.upstream(), earlier.used(added.usedNanos()).used(known.usedNanos()));
     }
 
     /** Returns when the turns at an upstream began, in nanoseconds; the default if that is not known. */
@@ -71,7 +87,7 @@
 
     /** Returns the starts of which this node has learnt lately, and drops those that are not used any more. */
     List<AgedStart> changedWithin(Duration since, long nowNanos) {
-        starts.values().removeIf(start -> nowNanos - start.usedNanos() >= RETENTION.toNanos());
+        starts.values().removeIf(start -> start.isUnused(nowNanos));
         return starts.entrySet().stream()
                 .filter(known -> nowNanos - known.getValue().changedNanos() <= since.toNanos())
                 .limit(MAXIMUM_NEWS)
@@ -87,6 +103,9 @@
     }
 
     private static AgedStart aged(long upstream, Start start, long nowNanos) {
-        return new AgedStart(upstream, Duration.ofNanos(nowNanos - start.startNanos()));
+        return new AgedStart(
+                upstream,
+                Duration.ofNanos(nowNanos - start.startNanos()),
+                Duration.ofNanos(nowNanos - start.usedNanos()));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -29,7 +29,7 @@
 import org.galenahinge.gateway.StopSchedule;
 import org.galenahinge.http.HttpDocument;
 import org.galenahinge.http.HttpServer;
-import org.galenahinge.limit.ColdStartBounds;
+import org.galenahinge.catalog.ColdStartBounds;
 import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
--- a/galenahinge/src/main/java/org/galenahinge/node/LimitGossip.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/LimitGossip.java
@@ -51,7 +51,11 @@
         }
         if (encoded.getRevision() == COLD_START_REVISION && !encoded.getNamed()) {
             limits.addColdStart(
-                    new AgedStart(encoded.getUpstream(), Duration.ofMillis(encoded.getAgeMillis())), nowNanos);
+                    new AgedStart(
+                            encoded.getUpstream(),
+                            Duration.ofMillis(encoded.getAgeMillis()),
+                            Duration.ofMillis(encoded.getSinceNamedMillis())),
+                    nowNanos);
             return;
         }
         AgedLimit limit = new AgedLimit(
@@ -76,6 +80,7 @@
                 .setRevision(COLD_START_REVISION)
                 .setNamed(false)
                 .setAgeMillis(start.age().toMillis())
+                .setSinceNamedMillis(start.sinceUsed().toMillis())
                 .build();
         return GossipRecord.newBuilder().setLimit(record).build();
     }
--- a/galenahinge/src/test/java/org/galenahinge/limit/ColdLimitFleetTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/limit/ColdLimitFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
+import org.galenahinge.catalog.ColdStartBounds;
 import org.galenahinge.limit.NamedLimits.ColdPeriod;
 import org.galenahinge.limit.NamedLimits.Position;
 import org.galenahinge.limit.TurnStarts.AgedStart;
@@ -76,7 +77,7 @@
         sent = 0;
         mostInSecond = 0;
         coldNanos = nowNanos;
-        TurnRate rate = BOUNDS.turnRate(perSecond);
+        TurnRate rate = TurnRate.within(BOUNDS, perSecond);
         for (int index = 0; index < entryCount; index++) {
             entries.add(new Entry(index, entryCount, rate));
         }
@@ -143,7 +144,8 @@
             // What gossip tells agrees no better than what entries read.
             long toldNanos = coldNanos + randomTime(MAXIMUM_DISAGREEMENT).toNanos();
             if (nowNanos - toldNanos >= 0) {
-                limits.addColdStart(new AgedStart(UPSTREAM, Duration.ofNanos(nowNanos - toldNanos)), nowNanos);
+                limits.addColdStart(
+                        new AgedStart(UPSTREAM, Duration.ofNanos(nowNanos - toldNanos), Duration.ZERO), nowNanos);
             }
             limits.setCold(
                     UPSTREAM,
--- a/galenahinge/src/test/java/org/galenahinge/limit/NamedLimitsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/limit/NamedLimitsTest.java
@@ -5,9 +5,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.galenahinge.limit.NamedLimits.AgedLimit;
+import org.galenahinge.limit.NamedLimits.ColdPeriod;
 import org.galenahinge.limit.NamedLimits.Position;
+import org.galenahinge.limit.TurnStarts.AgedStart;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -100,6 +103,88 @@
         assertThat(limits.isEmpty()).isTrue();
     }
 
+    /** Of the limit that an upstream names and that of its cold time, the lower one counts, in any order. */
+    @ParameterizedTest
+    @CsvSource({"1, 4, 4", "4, 1, 4", "0, 4, 0", "4, 4, 16"})
+    void keepsToTheLowerOfTwoLimits(double named, double cold, int expected) {
+        for (boolean namedFirst : List.of(true, false)) {
+            NamedLimits limits = limitsOf(0, 1);
+            if (namedFirst) {
+                limits.recordResponse(UPSTREAM, OptionalDouble.of(named), nowNanos);
+            }
+            limits.setCold(UPSTREAM, coldPeriod(cold, Duration.ofSeconds(60)), nowNanos);
+            if (!namedFirst) {
+                limits.recordResponse(UPSTREAM, OptionalDouble.of(named), nowNanos);
+            }
+            assertThat(turnsWithin(limits, Duration.ofSeconds(4)).size()).isBetween(expected, expected + 1);
+        }
+    }
+
+    /** Guards against an upstream that is kept from requests after its cold time, or after its record says that it is warm. */
+    @ParameterizedTest
+    @CsvSource({"1999, false, false", "2000, false, true", "5, true, true"})
+    void endsWithTheColdTime(long afterMillis, boolean saysWarm, boolean allowed) {
+        NamedLimits limits = limitsOf(0, 1);
+        limits.setCold(UPSTREAM, coldPeriod(0, Duration.ofSeconds(2)), nowNanos);
+        nowNanos += Duration.ofMillis(afterMillis).toNanos();
+        if (saysWarm) {
+            limits.setWarm(UPSTREAM);
+        }
+        assertThat(limits.isCold(UPSTREAM, nowNanos)).isNotEqualTo(allowed);
+        assertThat(limits.allows(UPSTREAM, nowNanos)).isEqualTo(allowed);
+    }
+
+    /** Guards against turns that are used twice when the record of a cold upstream is written again. */
+    @Test
+    void keepsUsedTurnsWhenTheColdTimeChanges() {
+        NamedLimits limits = limitsOf(0, 1);
+        limits.setCold(UPSTREAM, coldPeriod(1, Duration.ofSeconds(9)), nowNanos);
+        limits.recordSent(UPSTREAM, nowNanos);
+        limits.setCold(UPSTREAM, coldPeriod(1, Duration.ofSeconds(9)), nowNanos);
+        assertThat(limits.allows(UPSTREAM, nowNanos)).isFalse();
+    }
+
+    /** Guards against requests to a cold upstream from an entry that does not know yet how many others there are. */
+    @Test
+    void sendsNothingToAColdUpstreamWithoutAPosition() {
+        NamedLimits limits = NamedLimits.create(() -> new Position(0, 1), Optional::empty);
+        limits.setCold(UPSTREAM, coldPeriod(14, Duration.ofSeconds(9)), nowNanos);
+        assertThat(turnsWithin(limits, Duration.ofSeconds(4))).isEmpty();
+        assertThat(limits.allows(UPSTREAM + 1, nowNanos)).isTrue();
+    }
+
+    /** All nodes take turns from the earliest start that any of them knows; one that nobody uses any more is dropped. */
+    @Test
+    void takesTurnsFromTheEarliestStart() {
+        NamedLimits limits = limitsOf(0, 1);
+        limits.addColdStart(new AgedStart(UPSTREAM, Duration.ofMillis(300), Duration.ZERO), nowNanos);
+        limits.addColdStart(new AgedStart(UPSTREAM, Duration.ofMillis(200), Duration.ZERO), nowNanos);
+        limits.addColdStart(new AgedStart(UPSTREAM + 1, Duration.ofHours(1), Duration.ofHours(1)), nowNanos);
+        limits.setCold(UPSTREAM, coldPeriod(1, Duration.ofSeconds(9)), nowNanos);
+        assertThat(limits.allColdStarts(nowNanos))
+                .containsExactly(new AgedStart(UPSTREAM, Duration.ofMillis(300), Duration.ZERO));
+        assertThat(turnsWithin(limits, Duration.ofSeconds(3))).containsExactly("700", "1700", "2700");
+        nowNanos += Duration.ofMinutes(11).toNanos();
+        limits.coldStartsChangedWithin(Duration.ZERO, nowNanos);
+        assertThat(limits.allColdStarts(nowNanos)).isEmpty();
+    }
+
+    /** Guards against an upstream without a limit because the starts of too many others are held. */
+    @Test
+    void keepsToTheLimitOfEachOfManyColdUpstreams() {
+        NamedLimits limits = limitsOf(0, 1);
+        for (int upstream = 20_000; upstream >= UPSTREAM; upstream--) {
+            limits.setCold(upstream, coldPeriod(2, Duration.ofSeconds(60)), nowNanos);
+        }
+        assertThat(limits.allColdStarts(nowNanos)).hasSizeLessThan(20_000);
+        assertThat(turnsWithin(limits, Duration.ofSeconds(4)).size()).isBetween(7, 9);
+    }
+
+    private ColdPeriod coldPeriod(double perSecond, Duration time) {
+        TurnRate rate = new TurnRate(perSecond, Duration.ofMillis(300));
+        return new ColdPeriod(rate, nowNanos, nowNanos + time.toNanos());
+    }
+
     private List<String> turnsWithin(NamedLimits limits, Duration time) {
         List<String> turns = new ArrayList<>();
         for (long millis = 1; millis <= time.toMillis(); millis++) {
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -71,6 +71,32 @@
         assertThat(choose(List.of(loading, backingOff), request(100))).isEqualTo(new PlacementDecision.Full(2));
     }
 
+    /** A cold upstream is used when it is much faster, or has a free slot and no warm one has, and more as it warms up. */
+    @ParameterizedTest
+    @CsvSource({"1, false, warm", "0.5, false, warm", "0, false, cold", "1, true, cold"})
+    void prefersWarmUpstreamsWithFreeSlots(double coldShare, boolean warmIsFull, String expected) {
+        Placement.UpstreamLimit limit = new Placement.UpstreamLimit() {
+            @Override
+            public boolean allows(Upstream upstream, long nowNanos) {
+                return true;
+            }
+
+            @Override
+            public double coldShare(Upstream upstream, long nowNanos) {
+                return upstream.id().equals("cold") ? coldShare : 0;
+            }
+        };
+        PlacementCandidate warm = engine("warm", "b", 1);
+        // A node that uses little of its share may claim one slot beyond those of the engine.
+        int running = warmIsFull ? 17 : 0;
+        warm.load().recordReport(new LoadReport(running, 0, 0, 1, false, Optional.empty(), weights(1)), NOW);
+        List<PlacementCandidate> candidates = List.of(engine("cold", "a", 1), warm);
+        PlacementDecision choice = Placement.create("a", () -> 1, limit, 1)
+                .choose(new ServiceUpstreams(candidates, Optional.of(FIGURES)), request(500), NOW);
+        assertThat(((PlacementDecision.Chosen) choice).candidate().upstream().id())
+                .isEqualTo(expected);
+    }
+
     /** Guards against a request to an upstream that wants none, whichever free slots its reports show. */
     @Test
     void avoidsAnUpstreamThatWantsNoRequests() {
