--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -114,7 +114,7 @@
                     open, Outcome.NOT_SENT, "the weights of the upstream were outdated before its connection was open");
             return;
         }
-        if (!reused && !request.gateway().limits().maySend(candidate.upstream(), turnLapseNanos)) {
+        if (!request.gateway().limits().maySend(candidate.upstream(), turnLapseNanos)) {
             request.mayReturnTo(candidate.upstream());
             endUnsent(open, Outcome.NOT_SENT, "the upstream is cold, and this node has no turn there");
             return;
--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -376,7 +376,8 @@
                 named.isPresent() && rate.perSecond() < cold.get().rate().perSecond();
         TurnSchedule schedule = namedCounts
                 ? schedule(named.get(), rate)
-                : new TurnSchedule(rate, coldStarts.startNanos(upstream, cold.get().startNanos()));
+                : new TurnSchedule(
+                        rate, coldStarts.startNanos(upstream, cold.get().startNanos()));
         return Optional.of(new Turns(schedule, coldPosition.get(), cold.get().firstTurnNanos() - 1));
     }
 
--- a/galenahinge/src/test/java/org/galenahinge/node/ColdStartGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/ColdStartGossipTest.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.catalog.ColdStartBounds;
+import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.limit.NamedLimits;
 import org.galenahinge.limit.NamedLimits.ColdPeriod;
 import org.galenahinge.limit.NamedLimits.Position;
@@ -55,7 +55,8 @@
     private void read(GossipFleet.Member member) {
         long now = timers.nanoTime();
         long endNanos = now + Duration.ofSeconds(60).toNanos();
-        limits.get(member).setCold(UPSTREAM, new ColdPeriod(TurnRate.within(ColdStartBounds.DEFAULT, 14), now, endNanos), now);
+        limits.get(member)
+                .setCold(UPSTREAM, new ColdPeriod(TurnRate.within(ColdStartBounds.DEFAULT, 14), now, endNanos), now);
     }
 
     private long ageDifferenceMillis() {
