--- a/galenahinge/src/main/java/org/galenahinge/catalog/Route.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * Which requests belong to a route, and how they are served.
@@ -18,6 +19,7 @@
  * @param backends the services that share its requests, never empty
  * @param maximumAttempts the maximum number of attempts per request, at least 1
  * @param allowsAnonymous whether requests need no key
+ * @param allowedRegions the regions in which its requests may be served, empty for any
  */
 public record Route(
         String name,
@@ -30,8 +32,9 @@
         int priority,
         List<Backend> backends,
         int maximumAttempts,
-        boolean allowsAnonymous) {
-    /** Copies the backends; rejects a route without backends or attempts. */
+        boolean allowsAnonymous,
+        Set<String> allowedRegions) {
+    /** Copies the collections; rejects a route without backends or attempts. */
     public Route {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(host, "host");
@@ -41,6 +44,7 @@
         Objects.requireNonNull(targetLatency, "targetLatency");
         Objects.requireNonNull(targetEventGap, "targetEventGap");
         backends = List.copyOf(backends);
+        allowedRegions = Set.copyOf(allowedRegions);
         if (backends.isEmpty()) {
             throw new IllegalArgumentException("backends must not be empty");
         }
@@ -49,6 +53,48 @@
         }
     }
 
+    /**
+     * Creates a route whose requests may be served in any region.
+     *
+     * @param name its name
+     * @param host the host name that requests of the route are sent to
+     * @param prefix the prefix of the paths that belong to the route, beginning and ending with a slash
+     * @param kind whether requests may be retried and responses are streams
+     * @param timeout the maximum duration of a request
+     * @param targetLatency the maximum time to the response, or to a stream's first event, that counts as on time
+     * @param targetEventGap the maximum pause between events of a stream that counts as on time, zero if there is none
+     * @param priority the priority of its requests, 0 highest
+     * @param backends the services that share its requests, never empty
+     * @param maximumAttempts the maximum number of attempts per request, at least 1
+     * @param allowsAnonymous whether requests need no key
+     */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration targetLatency,
+            Duration targetEventGap,
+            int priority,
+            List<Backend> backends,
+            int maximumAttempts,
+            boolean allowsAnonymous) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                timeout,
+                targetLatency,
+                targetEventGap,
+                priority,
+                backends,
+                maximumAttempts,
+                allowsAnonymous,
+                Set.of());
+    }
+
     /**
      * Picks the service for one request, with probabilities in proportion to the backends' weights.
      *
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -136,8 +136,8 @@
             rejectQuarantined();
             return true;
         }
-        PlacementDecision choice = gateway.choose(
-                admitted.service(), candidates, request.metadata().prompt(), triedUpstreams, isLate());
+        PlacementDecision choice =
+                gateway.choose(admitted, candidates, request.metadata().prompt(), triedUpstreams, isLate());
         if (!(choice instanceof PlacementDecision.Chosen chosen)) {
             return false;
         }
@@ -156,12 +156,22 @@
         }
     }
 
-    /** Rejects a request that was removed from the queue because all upstreams of its service leave. */
+    /** Returns whether the request may be served in one of some regions. */
+    boolean mayUse(Set<String> regions) {
+        return admitted.allowedRegions().allowsOneOf(regions);
+    }
+
+    /** Rejects a request that was removed from the queue because all upstreams that may serve it leave. */
     void upstreamsLeft() {
         waiting = false;
-        if (!ended) {
-            rejectUnavailable("all upstreams of the service leave");
+        if (ended) {
+            return;
+        }
+        if (choose() instanceof PlacementDecision.OutsideRegions) {
+            rejectOutsideRegions();
+            return;
         }
+        rejectUnavailable("all upstreams of the service leave");
     }
 
     CallerRequest callerRequest() {
@@ -260,7 +270,7 @@
     }
 
     private PlacementDecision choose() {
-        return gateway.choose(admitted.service(), request.metadata().prompt(), triedUpstreams, isLate());
+        return gateway.choose(admitted, request.metadata().prompt(), triedUpstreams, isLate());
     }
 
     private boolean isLate() {
@@ -294,16 +304,23 @@
             enqueue(deadlines.engineWaitEndNanos());
         } else if (choice instanceof PlacementDecision.Paused paused) {
             enqueueUntilReturn(paused.returnNanos());
+        } else if (choice instanceof PlacementDecision.OutsideRegions) {
+            rejectOutsideRegions();
         } else {
             rejectUnavailable(((PlacementDecision.Unavailable) choice).detail());
         }
     }
 
     private void rejectUnavailable(String detail) {
-        reject(
-                mayHaveRun
-                        ? outcomeUnknown(detail)
-                        : Rejection.notRun("no_upstream", detail, retryAfterOutageOrPause()));
+        rejectUnplaced("no_upstream", detail);
+    }
+
+    private void rejectOutsideRegions() {
+        rejectUnplaced("region", admitted.outsideRegionsDetail());
+    }
+
+    private void rejectUnplaced(String reason, String detail) {
+        reject(mayHaveRun ? outcomeUnknown(detail) : Rejection.notRun(reason, detail, retryAfterOutageOrPause()));
     }
 
     /** Rejects the request at once if so many others wait that it would certainly not get a slot in time. */
@@ -424,7 +441,7 @@
     /** After all upstreams have named a time, callers follow the shortest one. */
     private Duration retryAfterOutageOrPause() {
         double random = gateway.randomFraction();
-        OptionalLong returnNanos = gateway.returnNanos(admitted.service());
+        OptionalLong returnNanos = gateway.returnNanos(admitted.service(), admitted.allowedRegions());
         return returnNanos.isPresent()
                 ? RetryAfterPolicy.afterPause(timeUntil(returnNanos.getAsLong()), random)
                 : RetryAfterPolicy.afterOutage(remainingTime(), random);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import org.galenahinge.catalog.AllowedRegions;
 import org.galenahinge.catalog.Catalog;
 import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.concurrent.Timers;
@@ -85,7 +86,8 @@
         this.log = log;
         this.metrics = new GatewayMetrics(registry);
         this.nodes = nodes;
-        this.placement = Placement.create(settings.failureDomain(), nodes, this::isWithinLimit, seed);
+        this.placement =
+                Placement.create(settings.failureDomain(), nodes, this::isWithinLimit, settings.regionOf(), seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
@@ -248,7 +250,12 @@
 
     /** Returns when the first upstream of a service wants requests again, if all have named a time for that. */
     OptionalLong returnNanos(String service) {
-        return placement.returnNanos(upstreamsOf(service), timers.nanoTime());
+        return returnNanos(service, AllowedRegions.any());
+    }
+
+    /** Returns the same for the upstreams in some regions. */
+    OptionalLong returnNanos(String service, AllowedRegions allowed) {
+        return placement.returnNanos(upstreamsOf(service), allowed, timers.nanoTime());
     }
 
     /** Records that a request is sent to an upstream, which counts towards the limit that it may have named. */
@@ -279,13 +286,14 @@
         return upstreams.pool(upstreamId);
     }
 
-    PlacementDecision choose(String service, Optional<PromptShape> prompt, Set<String> excluded, boolean late) {
-        return choose(service, upstreams.candidates(service), prompt, excluded, late);
+    PlacementDecision choose(
+            AdmittedRequest admitted, Optional<PromptShape> prompt, Set<String> excluded, boolean late) {
+        return choose(admitted, upstreams.candidates(admitted.service()), prompt, excluded, late);
     }
 
-    /** Chooses among some of a service's upstreams. */
+    /** Chooses among some upstreams of the request's service. */
     PlacementDecision choose(
-            String service,
+            AdmittedRequest admitted,
             List<PlacementCandidate> offered,
             Optional<PromptShape> prompt,
             Set<String> excluded,
@@ -293,9 +301,9 @@
         OptionalLong minimum =
                 prompt.map(shape -> minimumVersion(shape.model())).orElse(OptionalLong.empty());
         return placement.choose(
-                upstreamsOf(service),
+                upstreamsOf(admitted.service()),
                 offered,
-                new PlacementRequest(prompt, excluded, minimum, late),
+                new PlacementRequest(prompt, excluded, minimum, late, admitted.allowedRegions()),
                 timers.nanoTime());
     }
 
@@ -361,21 +369,29 @@
         long now = timers.nanoTime();
         List<PlacementCandidate> free = placement.withFreeSlot(upstreamsOf(service), offered, now);
         if (!free.isEmpty()) {
-            queue.waiting().dispatch(now, request -> request.tryPlaceWaiting(free));
+            Set<String> regions = placement.regionsOf(free);
+            queue.waiting().dispatch(now, request -> request.mayUse(regions), request -> request.tryPlaceWaiting(free));
         }
     }
 
-    /** Requests do not wait for upstreams that have all left. */
+    /** Requests do not wait where all upstreams that may serve them have left. */
     private void rejectWaitingWithoutUpstream() {
         for (String service : List.copyOf(serviceQueues.keySet())) {
-            boolean allLeave = upstreams.candidates(service).stream()
-                    .allMatch(candidate -> candidate.upstream().leaving());
-            if (allLeave) {
-                serviceQueues.get(service).waiting().removeAll().forEach(ForwardedRequest::upstreamsLeft);
+            AdmissionQueue<ForwardedRequest> waiting =
+                    serviceQueues.get(service).waiting();
+            if (waiting.size() > 0) {
+                Set<String> regions = regionsOfStaying(service);
+                waiting.removeIf(request -> !request.mayUse(regions)).forEach(ForwardedRequest::upstreamsLeft);
             }
         }
     }
 
+    private Set<String> regionsOfStaying(String service) {
+        return placement.regionsOf(upstreams.candidates(service).stream()
+                .filter(candidate -> !candidate.upstream().leaving())
+                .toList());
+    }
+
     /** Removes the requests that have waited too long, or would have before any upstream wants requests again. */
     private void removeUnservable(String service, long nowNanos) {
         AdmissionQueue<ForwardedRequest> waiting = serviceQueues.get(service).waiting();
--- a/galenahinge/src/main/java/org/galenahinge/gateway/GatewaySettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.function.UnaryOperator;
 import org.galenahinge.placement.ServiceRetryBudget;
 
 /**
@@ -10,11 +11,29 @@
  * @param failureDomain the failure domain of this VM
  * @param retryBudget the limit on retries of each service, over all nodes
  * @param versionRollout how long after a version is named all requests must start on it, at the latest
+ * @param regionOf returns the region of a failure domain
  */
-public record GatewaySettings(String failureDomain, ServiceRetryBudget.Limits retryBudget, Duration versionRollout) {
+public record GatewaySettings(
+        String failureDomain,
+        ServiceRetryBudget.Limits retryBudget,
+        Duration versionRollout,
+        UnaryOperator<String> regionOf) {
+    /** Rejects null components. */
     public GatewaySettings {
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(versionRollout, "versionRollout");
+        Objects.requireNonNull(regionOf, "regionOf");
+    }
+
+    /**
+     * Creates the settings of a gateway where each failure domain is its own region.
+     *
+     * @param failureDomain the failure domain of this VM
+     * @param retryBudget the limit on retries of each service, over all nodes
+     * @param versionRollout how long after a version is named all requests must start on it, at the latest
+     */
+    public GatewaySettings(String failureDomain, ServiceRetryBudget.Limits retryBudget, Duration versionRollout) {
+        this(failureDomain, retryBudget, versionRollout, UnaryOperator.identity());
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
@@ -44,7 +44,7 @@
         if (needsApiKey && organisation.isEmpty()) {
             return rejected(Rejection.of(401, "unknown_key", "the API key is not known"));
         }
-        return new Result.Admitted(new AdmittedRequest(route.get(), route.get().pickService(random), organisation));
+        return new Result.Admitted(AdmittedRequest.of(route.get(), route.get().pickService(random), organisation));
     }
 
     private static Result rejected(Rejection rejection) {
--- a/galenahinge/src/main/java/org/galenahinge/history/RequestHistory.java
+++ b/galenahinge/src/main/java/org/galenahinge/history/RequestHistory.java
@@ -189,7 +189,7 @@
             case "full" -> "all slots of the service " + end.field("service") + " were taken" + whileLoading();
             case "coming" ->
                 "the engines of " + end.field("service") + " did not hold the wanted weights yet" + whileLoading();
-            case "no_upstream" -> end.field("detail") + latestEvent(LOSS_EVENTS);
+            case "no_upstream", "region" -> end.field("detail") + latestEvent(LOSS_EVENTS);
             case "unconfigured" ->
                 "node " + end.node() + " had just started and had no configuration yet"
                         + latestEvent(Set.of("started"));
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -93,7 +93,7 @@
                 platform.store(threads), new EntryPeers(), items, this::itemsChanged, timers, log, seed);
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
         GatewaySettings gatewaySettings = new GatewaySettings(
-                settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout());
+                settings.zone(), settings.retryBudget(), settings.bounds().versionSwitchTimeout(), settings::regionOf);
         this.crashLedger = CrashLedger.create(
                 part -> roster.assigneeOf("trial/" + part).filter(self::equals).isPresent());
         this.namedLimits = NamedLimits.create(() -> roster.positionOf(self));
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -114,7 +114,17 @@
      * @return the removed items, those that would have expired first at the front
      */
     public List<T> removeAll() {
-        List<T> removed = byExpiry.stream().map(Waiter::item).toList();
+        return removeIf(item -> true);
+    }
+
+    /**
+     * Removes the items that meet a condition.
+     *
+     * @param condition the condition
+     * @return the removed items, those that would have expired first at the front
+     */
+    public List<T> removeIf(Predicate<T> condition) {
+        List<T> removed = byExpiry.stream().map(Waiter::item).filter(condition).toList();
         removed.forEach(this::remove);
         return removed;
     }
@@ -127,10 +137,22 @@
      * @param dispatcher returns whether it accepted the item
      */
     public void dispatch(long nowNanos, Predicate<T> dispatcher) {
+        dispatch(nowNanos, item -> true, dispatcher);
+    }
+
+    /**
+     * Passes those queued items that may use what is free to the dispatcher, in the same order. The others do not count
+     * as items that the dispatcher did not accept, so that they do not keep the free slots from the items behind them.
+     *
+     * @param nowNanos the time, in nanoseconds
+     * @param mayUse returns whether the item may use what is free
+     * @param dispatcher returns whether it accepted the item
+     */
+    public void dispatch(long nowNanos, Predicate<T> mayUse, Predicate<T> dispatcher) {
         separateLate(nowNanos);
         long firstNewSequence = nextSequence;
-        int skipped = dispatch(onTime, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH, dispatcher);
-        dispatch(late, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH - skipped, dispatcher);
+        int skipped = dispatch(onTime, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH, mayUse, dispatcher);
+        dispatch(late, firstNewSequence, MAXIMUM_SKIPPED_PER_DISPATCH - skipped, mayUse, dispatcher);
     }
 
     /**
@@ -157,16 +179,22 @@
 
     /** Returns how many items the dispatcher did not accept. The dispatcher may add and remove items. */
     private int dispatch(
-            NavigableSet<Waiter<T>> ordered, long firstNewSequence, int maximumSkipped, Predicate<T> dispatcher) {
+            NavigableSet<Waiter<T>> ordered,
+            long firstNewSequence,
+            int maximumSkipped,
+            Predicate<T> mayUse,
+            Predicate<T> dispatcher) {
         int skipped = 0;
         Waiter<T> next = ordered.isEmpty() ? null : ordered.first();
         while (next != null && skipped < maximumSkipped) {
             Waiter<T> waiter = next;
             boolean isNew = waiter.sequence() >= firstNewSequence;
-            if (!isNew && dispatcher.test(waiter.item())) {
-                remove(waiter);
-            } else {
-                skipped++;
+            if (mayUse.test(waiter.item())) {
+                if (!isNew && dispatcher.test(waiter.item())) {
+                    remove(waiter);
+                } else {
+                    skipped++;
+                }
             }
             next = ordered.higher(waiter);
         }
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -7,6 +7,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.UnaryOperator;
+import org.galenahinge.catalog.AllowedRegions;
 import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.WeightsVersion;
@@ -39,12 +41,14 @@
     private final String zone;
     private final IntSupplier nodes;
     private final UpstreamLimit limit;
+    private final UpstreamRegions regions;
     private final Random random;
 
-    private Placement(String zone, IntSupplier nodes, UpstreamLimit limit, Random random) {
+    private Placement(String zone, IntSupplier nodes, UpstreamLimit limit, UpstreamRegions regions, Random random) {
         this.zone = zone;
         this.nodes = nodes;
         this.limit = limit;
+        this.regions = regions;
         this.random = random;
     }
 
@@ -97,10 +101,25 @@
      * @return the placement
      */
     public static Placement create(String zone, IntSupplier nodes, UpstreamLimit limit, long seed) {
+        return create(zone, nodes, limit, UnaryOperator.identity(), seed);
+    }
+
+    /**
+     * Creates a placement that keeps to the limits that upstreams name and to the regions that requests allow.
+     *
+     * @param zone failure domain of this VM
+     * @param nodes number of nodes that send to the same upstreams, this one included
+     * @param limit the limits
+     * @param regionOf returns the region of a failure domain
+     * @param seed seed of the random tie breaking
+     * @return the placement
+     */
+    public static Placement create(
+            String zone, IntSupplier nodes, UpstreamLimit limit, UnaryOperator<String> regionOf, long seed) {
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(nodes, "nodes");
         Objects.requireNonNull(limit, "limit");
-        return new Placement(zone, nodes, limit, new Random(seed));
+        return new Placement(zone, nodes, limit, new UpstreamRegions(regionOf), new Random(seed));
     }
 
     /**
@@ -134,7 +153,7 @@
         int eligible = 0;
         int starting = 0;
         FirstReturn firstReturn = new FirstReturn();
-        for (PlacementCandidate candidate : offered) {
+        for (PlacementCandidate candidate : regions.allowed(offered, request.allowedRegions())) {
             if (!isEligible(candidate, engine, request, nowNanos)) {
                 starting += isStartingUp(candidate, engine, request, nowNanos) ? 1 : 0;
                 continue;
@@ -163,6 +182,9 @@
                     ? new PlacementDecision.Full(eligible)
                     : new PlacementDecision.Paused(firstReturn.nanos);
         }
+        if (!regions.hasAllowed(service.candidates(), request.allowedRegions())) {
+            return new PlacementDecision.OutsideRegions(request.allowedRegions());
+        }
         return starting > 0
                 ? new PlacementDecision.StartingUp(starting)
                 : new PlacementDecision.Unavailable(unavailableDetail(offered, request));
@@ -176,9 +198,28 @@
      * @return the time, in nanoseconds; empty if some upstream has named none, or may start before
      */
     public OptionalLong returnNanos(ServiceUpstreams service, long nowNanos) {
+        return returnNanos(service, ANY_REQUEST, nowNanos);
+    }
+
+    /**
+     * Returns when the first upstream of a service in some regions wants requests again, if all there that can serve have
+     * named a time for that.
+     *
+     * @param service the upstreams of the service
+     * @param allowed the regions
+     * @param nowNanos the time, in nanoseconds
+     * @return the time, in nanoseconds; empty if some upstream there has named none, or may start before
+     */
+    public OptionalLong returnNanos(ServiceUpstreams service, AllowedRegions allowed, long nowNanos) {
+        PlacementRequest request =
+                new PlacementRequest(Optional.empty(), Set.of(), OptionalLong.empty(), false, allowed);
+        return returnNanos(service, request, nowNanos);
+    }
+
+    private OptionalLong returnNanos(ServiceUpstreams service, PlacementRequest request, long nowNanos) {
         boolean anyPaused = service.candidates().stream()
                 .anyMatch(candidate -> candidate.load().pause().isActive(nowNanos));
-        return anyPaused && choose(service, ANY_REQUEST, nowNanos) instanceof PlacementDecision.Paused paused
+        return anyPaused && choose(service, request, nowNanos) instanceof PlacementDecision.Paused paused
                 ? OptionalLong.of(paused.returnNanos())
                 : OptionalLong.empty();
     }
@@ -200,6 +241,16 @@
                 .toList();
     }
 
+    /**
+     * Returns the regions of some upstreams.
+     *
+     * @param candidates the upstreams
+     * @return their regions
+     */
+    public Set<String> regionsOf(List<PlacementCandidate> candidates) {
+        return regions.of(candidates);
+    }
+
     /**
      * An engine is ready within a second or two if it is loading weights, has just restarted, or is so far known only by
      * its upstream record in the store.
--- a/galenahinge/src/main/java/org/galenahinge/placement/PlacementDecision.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/PlacementDecision.java
@@ -1,6 +1,7 @@
 package org.galenahinge.placement;
 
 import java.util.Objects;
+import org.galenahinge.catalog.AllowedRegions;
 
 /** The result of choosing an upstream for a request. */
 public sealed interface PlacementDecision {
@@ -38,6 +39,18 @@
      */
     record StartingUp(int starting) implements PlacementDecision {}
 
+    /**
+     * The service has no upstream in the regions in which the request may be served.
+     *
+     * @param allowed the regions
+     */
+    record OutsideRegions(AllowedRegions allowed) implements PlacementDecision {
+        /** Rejects null components. */
+        public OutsideRegions {
+            Objects.requireNonNull(allowed, "allowed");
+        }
+    }
+
     /**
      * No upstream can serve the request, now or soon.
      *
