--- a/galenahinge/src/main/java/org/galenahinge/catalog/RouteTable.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/RouteTable.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Finds the route of a request: the one with the longest matching path prefix among the routes of its host. Immutable.
@@ -14,9 +16,11 @@
  */
 public final class RouteTable {
     private final Map<String, Map<String, Route>> byHost;
+    private final Map<String, Set<String>> regionsByHost;
 
     private RouteTable(Map<String, Map<String, Route>> byHost) {
         this.byHost = byHost;
+        this.regionsByHost = regionsByHost(byHost);
     }
 
     /**
@@ -60,6 +64,24 @@
         }
     }
 
+    /**
+     * Returns the regions that the routes of a host allow together. Routes that allow any region do not count.
+     *
+     * @param host the host in any case, with or without a port
+     * @return the regions, or any region if no route of the host has a list
+     */
+    public AllowedRegions allowedRegions(String host) {
+        return AllowedRegions.listed(regionsByHost.getOrDefault(hostKey(host), Set.of()));
+    }
+
+    private static Map<String, Set<String>> regionsByHost(Map<String, Map<String, Route>> byHost) {
+        Map<String, Set<String>> regions = new HashMap<>();
+        byHost.forEach((host, prefixes) -> prefixes.values()
+                .forEach(route ->
+                        regions.computeIfAbsent(host, key -> new HashSet<>()).addAll(route.allowedRegions())));
+        return regions;
+    }
+
     /**
      * Returns all routes.
      *
--- a/galenahinge/src/main/java/org/galenahinge/membership/MembershipProtocol.java
+++ b/galenahinge/src/main/java/org/galenahinge/membership/MembershipProtocol.java
@@ -40,6 +40,12 @@
     /** How often an update is sent, as a multiple of the logarithm of the number of members. */
     private static final int TRANSMISSION_FACTOR = 3;
 
+    /** The number of latest pings of members that count as alive which are looked at together, as the bits of a number. */
+    private static final int PROBE_HISTORY_MASK = 0xFF;
+
+    /** So many failed pings among these are more than the end of single members explains. */
+    private static final int FAILED_PROBES_OUT_OF_TOUCH = 3;
+
     private final String self;
     private final Timing timing;
     private final Random random;
@@ -48,6 +54,7 @@
     private final Map<Long, RelayedPing> relayedPings = new HashMap<>();
     private final List<String> probeQueue = new ArrayList<>();
     private Optional<Probe> probe = Optional.empty();
+    private int failedProbes;
     private long ownStateVersion;
     private long changes;
     private long nextSequence = 1;
@@ -239,6 +246,20 @@
         return rejoining;
     }
 
+    /**
+     * Returns whether so many of the latest pings of members that count as alive failed that this member may have lost touch
+     * with the others. Others may then have ended without notice here.
+     *
+     * @return whether pings of several such members failed
+     */
+    public boolean isOutOfTouch() {
+        return Integer.bitCount(failedProbes) >= FAILED_PROBES_OUT_OF_TOUCH;
+    }
+
+    private void recordProbe(boolean failed) {
+        failedProbes = (failedProbes << 1 | (failed ? 1 : 0)) & PROBE_HISTORY_MASK;
+    }
+
     private void detectPause(long nowNanos) {
         if (nowNanos - lastTickNanos > timing.pauseThreshold().toNanos()) {
             rejoining = true;
@@ -307,6 +328,7 @@
         MemberState member = members.get(probe.get().target());
         probe = Optional.empty();
         if (member != null && member.status() == Status.ALIVE) {
+            recordProbe(true);
             MemberState suspect = new MemberState(member.vm(), member.stateVersion(), Status.SUSPECT, nowNanos);
             setState(suspect);
             // Notifies the suspect at once, so that its refutation spreads as early as the suspicion does.
@@ -324,7 +346,10 @@
                             relayed.sequence(), acknowledgement.subject(), updatesFor(relayed.requester()))));
             return;
         }
-        probe = probe.filter(open -> open.sequence() != acknowledgement.sequence());
+        if (probe.filter(open -> open.sequence() == acknowledgement.sequence()).isPresent()) {
+            recordProbe(false);
+            probe = Optional.empty();
+        }
     }
 
     private void expireStates(long nowNanos) {
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -42,23 +42,30 @@
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final Duration DISCOVERY_INTERVAL_ALONE = Duration.ofMillis(250);
     private static final Duration DISCOVERY_INTERVAL = Duration.ofSeconds(4);
+    private static final Duration CONFIRMATION_INTERVAL = Duration.ofSeconds(1);
     private static final Duration DISCOVERY_TIMEOUT = Duration.ofMillis(500);
     private static final Duration SETTLE_TIME = Duration.ofMillis(400);
     private static final Duration SETTLE_TIME_WHEN_ALONE = Duration.ofMillis(1_200);
     private static final long MAXIMUM_MEMBERS_BYTES = 1 << 20;
 
+    /** First line of a list that its receiver may rely on. It is no address, so that receivers otherwise ignore it. */
+    private static final String SETTLED_LINE = "settled";
+
     private final NodeAddress self;
     private final MembershipProtocol core;
     private final EntryRoster roster;
     private final Timers timers;
     private final EventLog log;
     private final Runnable onRosterChange;
+    private final ConfirmedEntries confirmed;
     private final Map<String, Status> loggedStatuses = new HashMap<>();
     private List<WireAddress> seeds;
     private final Random random;
     private NetworkThreads threads;
     private DatagramNetwork network;
+    private List<UpMember> upMembers = List.of();
     private long changesInRoster = -1;
+    private boolean outOfTouch;
     private boolean joined;
     private boolean left;
     private long joinedNanos;
@@ -78,6 +85,7 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.log = Objects.requireNonNull(log, "log");
         this.onRosterChange = Objects.requireNonNull(onRosterChange, "onRosterChange");
+        this.confirmed = new ConfirmedEntries(timers);
         this.core = MembershipProtocol.create(self.text(), TIMING, seed, timers.nanoTime());
     }
 
@@ -85,6 +93,7 @@
         threads = newThreads;
         network = DatagramNetwork.listen(threads, address, metrics, MembershipCodec::read, this::received);
         metrics.gauge("membership.up", () -> () -> roster.up().size());
+        metrics.gauge("membership.confirmed", () -> () -> confirmedUp().size());
     }
 
     /** Adds entries that another node knows, as the text of their addresses. Does nothing before {@link #join}. */
@@ -111,8 +120,10 @@
         }
         joined = true;
         joinedNanos = timers.nanoTime();
+        confirmed.begin();
         tick();
         discover();
+        timers.schedule(CONFIRMATION_INTERVAL, this::confirm);
     }
 
     /** Tells whether this entry has been a member for long enough to know most of the others. */
@@ -126,13 +137,66 @@
      * Responds to a discovery request, and adds its sender.
      *
      * @param sender the sender's address as text; empty text when it does not give one
-     * @return the addresses of the entries that are up, as text, one per line
+     * @return the addresses of the entries that are up, as text, one per line; after a first line that says so, only those
+     *     of which this entry has evidence
      */
     String handleDiscovery(String sender) {
         if (joined && NodeAddress.parse(sender).isPresent()) {
             addDiscovered(List.of(sender));
         }
-        return roster.up().stream().map(NodeAddress::text).collect(Collectors.joining("\n"));
+        List<NodeAddress> named = confirmedUp();
+        if (!joined || !confirmed.isSettled()) {
+            return lines(roster.up());
+        }
+        return SETTLED_LINE + "\n" + lines(named);
+    }
+
+    /** Returns the entries that may be named to callers: this one, unless it has left, and those that are confirmed. */
+    List<NodeAddress> confirmedUp() {
+        observe();
+        List<NodeAddress> named = new ArrayList<>();
+        if (joined && !left) {
+            named.add(self);
+        }
+        upMembers.stream()
+                .filter(member -> confirmed.isConfirmed(member.text()))
+                .map(UpMember::address)
+                .forEach(named::add);
+        return named;
+    }
+
+    private static String lines(List<NodeAddress> entries) {
+        return entries.stream().map(NodeAddress::text).collect(Collectors.joining("\n"));
+    }
+
+    private void observe() {
+        if (joined && confirmed.observe()) {
+            log.event(Category.BELIEF, "entries_unconfirmed")
+                    .with("cause", "suspended")
+                    .write();
+        }
+    }
+
+    /** Asks other entries for their lists at short intervals while this one has not been in touch for long. */
+    private void confirm() {
+        if (left) {
+            return;
+        }
+        observe();
+        List<NodeAddress> others =
+                roster.up().stream().filter(entry -> !entry.equals(self)).toList();
+        if (!confirmed.isSettled() && !others.isEmpty()) {
+            requestMembers(others.get(random.nextInt(others.size())).nodes());
+        }
+        timers.schedule(CONFIRMATION_INTERVAL, this::confirm);
+    }
+
+    private void listReceived(List<String> list, long askedNanos) {
+        observe();
+        addDiscovered(list);
+        if (list.contains(SETTLED_LINE)) {
+            confirmed.listed(list, askedNanos);
+        }
     }
 
     /**
@@ -153,6 +217,7 @@
     }
 
     private void requestMembers(WireAddress other) {
+        long askedNanos = timers.nanoTime();
         String path = "/members?card=" + URLEncoder.encode(self.text(), StandardCharsets.UTF_8);
         CompleteResponse.fetch(
                         threads,
@@ -163,7 +228,7 @@
                 .whenComplete((response, error) -> {
                     if (error == null && response.status() == 200) {
                         String addresses = new String(response.body(), StandardCharsets.UTF_8);
-                        addDiscovered(addresses.lines().toList());
+                        listReceived(addresses.lines().toList(), askedNanos);
                         return;
                     }
                     log.event(Category.LIFECYCLE, "discovery_failed")
@@ -191,15 +256,31 @@
     }
 
     private void tick() {
+        observe();
         send(core.tick(timers.nanoTime()));
+        observeTouch();
         updateRoster();
         timers.schedule(TICK_INTERVAL, this::tick);
     }
 
+    private void observeTouch() {
+        if (core.isOutOfTouch()) {
+            confirmed.outOfTouch();
+        }
+        if (core.isOutOfTouch() && !outOfTouch) {
+            log.event(Category.BELIEF, "entries_unconfirmed")
+                    .with("cause", "pings_failed")
+                    .write();
+        }
+        outOfTouch = core.isOutOfTouch();
+    }
+
     private void received(MembershipCodec.Received received) {
         if (!joined || NodeAddress.parse(received.sender()).isEmpty()) {
             return;
         }
+        observe();
+        confirmed.heard(received.sender());
         send(core.receive(received.sender(), received.message(), timers.nanoTime()));
         updateRoster();
     }
@@ -222,6 +303,7 @@
     private void rebuildRoster() {
         changesInRoster = core.changes();
         List<NodeAddress> up = new ArrayList<>();
+        List<UpMember> members = new ArrayList<>();
         if (joined && !left) {
             up.add(self);
         }
@@ -230,8 +312,11 @@
             logStatusChange(entry, member);
             if (member.isUsable()) {
                 up.add(entry);
+                members.add(new UpMember(entry, member.vm()));
             }
         }
+        upMembers = List.copyOf(members);
+        confirmed.retain(core.members().stream().map(MemberState::vm).collect(Collectors.toSet()));
         List<NodeAddress> before = roster.up();
         roster.update(up);
         if (!before.equals(roster.up())) {
@@ -239,6 +324,9 @@
         }
     }
 
+    /** An entry that counts as up; the text of its address is its name as a member. */
+    private record UpMember(NodeAddress address, String text) {}
+
     private void logStatusChange(NodeAddress entry, MemberState member) {
         Status before = loggedStatuses.put(entry.name(), member.status());
         if (before == member.status()) {
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import org.galenahinge.catalog.AllowedRegions;
 import org.galenahinge.catalog.WeightsOrigin;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.daemon.Incarnation;
@@ -57,6 +58,7 @@
     private final NodeAddress self;
     private final EntryRoster roster;
     private final EntryMembership membership;
+    private final EntryDirectory directory;
     private final FleetFacts facts;
     private final FactSynchronizer synchronizer;
     private final FactRelay relay;
@@ -87,6 +89,7 @@
         this.self = addressOf(settings);
         this.roster = new EntryRoster(settings.zone(), seed);
         this.membership = new EntryMembership(self, settings.seeds(), roster, timers, log, this::rosterChanged, seed);
+        this.directory = new EntryDirectory(settings::regionOf);
         this.facts = FleetFacts.create(platform.decoder(), timers, log);
         FactLog items = FactLog.create(seed);
         this.synchronizer = FactSynchronizer.create(
@@ -166,16 +169,24 @@
     }
 
     /**
-     * Returns the entries that a caller should use: those of its failure domain, or all when there are fewer than two.
+     * Returns the entries that a caller should use: those of its failure domain, or all when there are fewer than two. If a
+     * route of the host has allowed regions, only entries in the caller's region or in these, unless none is up there. Must
+     * be called on the network thread of this entry.
      *
-     * @param zone the caller's failure domain
+     * @param host the host that the caller sends requests to; may be empty
+     * @param region the caller's region; if empty, that of its failure domain
+     * @param zone the caller's failure domain; may be empty
      * @param maximum the maximum number of entries
      * @return their addresses for callers
      */
-    public List<WireAddress> entriesFor(String zone, int maximum) {
-        List<NodeAddress> inZone = roster.inZone(zone);
-        List<NodeAddress> chosen = inZone.size() >= 2 ? inZone : roster.up();
-        return chosen.stream().limit(maximum).map(NodeAddress::callers).toList();
+    public List<WireAddress> entriesFor(String host, String region, String zone, int maximum) {
+        AllowedRegions ofHost = facts.catalog()
+                .map(catalog -> catalog.routes().allowedRegions(host))
+                .orElse(AllowedRegions.any());
+        EntryDirectory.Query query = new EntryDirectory.Query(region, zone, maximum);
+        return directory.choose(membership.confirmedUp(), query, ofHost).stream()
+                .map(NodeAddress::callers)
+                .toList();
     }
 
     /**
--- a/galenahinge/src/test/java/org/galenahinge/catalog/RouteTableTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/catalog/RouteTableTest.java
@@ -4,6 +4,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -45,10 +47,31 @@
         assertThat(route.pickService(random)).isEqualTo(expected);
     }
 
+    /** Guards against a host whose entries are chosen without the regions of one of its routes, or by those of another. */
+    @ParameterizedTest
+    @CsvSource({"H:8080, a b c", "other, d", "free, any", "unknown, any", "'', any"})
+    void joinsTheRegionsOfTheRoutesOfAHost(String host, String expected) {
+        RouteTable table = RouteTable.of(List.of(
+                route("first", "h", "/a/", Set.of("a", "b")),
+                route("second", "h", "/b/", Set.of("c")),
+                route("third", "h", "/c/", Set.of()),
+                route("fourth", "other", "/", Set.of("d")),
+                route("fifth", "free", "/", Set.of())));
+        AllowedRegions regions = table.allowedRegions(host);
+        String names = regions.names()
+                .map(known -> String.join(" ", new TreeSet<>(known)))
+                .orElse("any");
+        assertThat(names).isEqualTo(expected);
+    }
+
     private static Route route(String name, String prefix) {
+        return route(name, "h", prefix, Set.of());
+    }
+
+    private static Route route(String name, String host, String prefix, Set<String> regions) {
         return new Route(
                 name,
-                "h",
+                host,
                 prefix,
                 RequestKind.IDEMPOTENT,
                 Duration.ofSeconds(1),
@@ -57,6 +80,7 @@
                 0,
                 List.of(new Backend("s", 1)),
                 1,
-                false);
+                false,
+                regions);
     }
 }
