Operators evacuate a failure domain with an item in the store

Placement leaves the upstreams of evacuated failure domains out, attempts whose connection opens after the evacuation end unsent, and requests that only these upstreams could serve are rejected at once as not run. An evacuation that the store loses in a restore stays in effect.

--- a/galenahinge/src/main/java/org/galenahinge/facts/Fact.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/Fact.java
@@ -35,6 +35,20 @@
      */
     record VersionNamed(WeightsVersion weights) implements Fact {}
 
+    /**
+     * The operators evacuate a failure domain: its upstreams get no further requests.
+     *
+     * @param zone the failure domain
+     */
+    record EvacuationBegun(String zone) implements Fact {}
+
+    /**
+     * The operators no longer evacuate a failure domain.
+     *
+     * @param zone the failure domain
+     */
+    record EvacuationEnded(String zone) implements Fact {}
+
     /**
      * The item cannot be decoded; it changes nothing.
      *
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactItem.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactItem.java
@@ -144,6 +144,11 @@
         return rank.filter(FactRank::permanent).isPresent();
     }
 
+    /** Tells whether the fact is kept when the store is restored from a copy without it. */
+    boolean outlivesRestore() {
+        return rank.filter(FactRank::outlivesRestore).isPresent();
+    }
+
     /**
      * Tells whether this item was kept over an older copy that the store was restored from, and has not been written
      * since.
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -65,7 +65,8 @@
     }
 
     /**
-     * Merges a snapshot. Items that it lacks are removed, except those newer than the snapshot and those that never end.
+     * Merges a snapshot. Items that it lacks are removed, except those newer than the snapshot, those that never end, and
+     * instructions that the store lost when it was restored.
      *
      * @param snapshot all items
      * @param takenAt the store's position when reading the snapshot began
@@ -78,7 +79,8 @@
         for (Held held : items.values()) {
             FactItem item = held.item();
             boolean older = item.position().compareTo(takenAt) <= 0;
-            if (older && !item.removed() && !item.isPermanent() && !keys.contains(item.key())) {
+            boolean kept = item.isPermanent() || wasLostInRestore(item, takenAt);
+            if (older && !item.removed() && !kept && !keys.contains(item.key())) {
                 lacking.add(item);
             }
         }
@@ -237,9 +239,17 @@
         return !same;
     }
 
+    /** Tells whether a snapshot lacks an item because of a restore, not because the item was removed. */
+    private static boolean wasLostInRestore(FactItem item, StorePosition takenAt) {
+        boolean restoredSince = item.isRetained() || item.position().epoch() < takenAt.epoch();
+        return item.outlivesRestore() && restoredSince;
+    }
+
     /** Tells whether the restored store lacks an item that it held before; what still exists is written again. */
     private boolean isLost(FactItem change) {
-        return !change.removed() && !change.isPermanent() && change.position().epoch() < position.epoch();
+        return !change.removed()
+                && !change.outlivesRestore()
+                && change.position().epoch() < position.epoch();
     }
 
     private void put(FactItem item, long changeSequence) {
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactRank.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactRank.java
@@ -4,7 +4,8 @@
 
 /**
  * The order that facts about one key have by themselves, whatever the position at which the store holds them. A
- * configuration has its version; an upstream that is leaving does not return within the same life.
+ * configuration has its version; an upstream that is leaving does not return within the same life. The rank also tells
+ * what a snapshot without the item means.
  *
  * @param lineage what the stages belong to, such as one life of an upstream; stages of different lineages have no order
  * @param stage never decreases within a lineage
@@ -34,6 +35,21 @@
         return new FactRank(lineage, stage, false);
     }
 
+    /**
+     * Returns the rank of an instruction of the operators that they end by removing its item. Nobody writes it again by
+     * itself, so that it is kept when the store is restored from a copy without it.
+     *
+     * @return the rank
+     */
+    public static FactRank ofInstruction() {
+        return new FactRank(ONLY_LINEAGE, 0, false);
+    }
+
+    /** Tells whether the fact is kept when the store is restored from a copy without it. */
+    boolean outlivesRestore() {
+        return permanent || lineage == ONLY_LINEAGE;
+    }
+
     /**
      * Compares the stages that two facts have reached.
      *
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -53,6 +53,7 @@
     private final Map<Source, Long> leavingCounts = new EnumMap<>(Source.class);
     private final Map<String, Long> expiredInGrace = new HashMap<>();
     private final NamedVersions namedVersions = new NamedVersions();
+    private final EvacuatedDomains evacuatedDomains;
     private final SuspensionWatch suspension;
     private Optional<Catalog> catalog = Optional.empty();
     private Runnable changed = () -> {};
@@ -64,6 +65,7 @@
         this.decoder = decoder;
         this.timers = timers;
         this.log = log;
+        this.evacuatedDomains = EvacuatedDomains.create(log);
         this.suspension = SuspensionWatch.create(timers, SUSPENSION_RETENTION);
     }
 
@@ -182,6 +184,15 @@
         return Collections.unmodifiableCollection(upstreams.values());
     }
 
+    /**
+     * Returns the failure domains that the operators evacuate.
+     *
+     * @return a view, which only items change
+     */
+    public EvacuatedDomains evacuatedDomains() {
+        return evacuatedDomains;
+    }
+
     /**
      * Finds an upstream.
      *
@@ -289,6 +300,10 @@
             applyAbsent(absent, item.revision());
         } else if (fact instanceof Fact.VersionNamed version) {
             applyNamedVersion(version.weights(), item.revision(), maximumAge);
+        } else if (fact instanceof Fact.EvacuationBegun evacuation) {
+            evacuatedDomains.begin(evacuation.zone(), item.revision());
+        } else if (fact instanceof Fact.EvacuationEnded evacuation) {
+            evacuatedDomains.end(evacuation.zone(), item.revision());
         } else if (fact instanceof Fact.Unreadable unreadable) {
             log.event(Category.FAILURE, "item_unreadable")
                     .with("key", unreadable.key())
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -96,6 +96,15 @@
             pool.release(open);
             return;
         }
+        if (!request.gateway().isAvailable(candidate.upstream())) {
+            request.unsentTo(upstreamId());
+            endUnsent(
+                    open,
+                    Outcome.NOT_SENT,
+                    "the failure domain " + candidate.upstream().zone()
+                            + " was evacuated before the connection was open");
+            return;
+        }
         if (candidate.load().pause().isActive(now())) {
             endUnsent(open, Outcome.NOT_SENT, "the upstream has named a time after which it wants requests");
             return;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -164,6 +164,21 @@
         }
     }
 
+    /** Rejects a queued request if all upstreams that could serve it have been evacuated. */
+    void upstreamsEvacuated() {
+        if (!waiting || gateway.canServe(admitted.service(), request.metadata().prompt(), triedUpstreams)) {
+            return;
+        }
+        if (choose() instanceof PlacementDecision.Evacuated evacuated) {
+            rejectEvacuated(evacuated);
+        }
+    }
+
+    /** Lets an upstream that this request was placed on, but not sent to, count as not tried. */
+    void unsentTo(String upstreamId) {
+        triedUpstreams.remove(upstreamId);
+    }
+
     CallerRequest callerRequest() {
         return request;
     }
@@ -294,16 +309,26 @@
             enqueue(deadlines.engineWaitEndNanos());
         } else if (choice instanceof PlacementDecision.Paused paused) {
             enqueueUntilReturn(paused.returnNanos());
+        } else if (choice instanceof PlacementDecision.Evacuated evacuated) {
+            rejectEvacuated(evacuated);
         } else {
             rejectUnavailable(((PlacementDecision.Unavailable) choice).detail());
         }
     }
 
     private void rejectUnavailable(String detail) {
-        reject(
-                mayHaveRun
-                        ? outcomeUnknown(detail)
-                        : Rejection.notRun("no_upstream", detail, retryAfterOutageOrPause()));
+        rejectWithoutUpstream("no_upstream", detail);
+    }
+
+    private void rejectEvacuated(PlacementDecision.Evacuated evacuated) {
+        rejectWithoutUpstream(
+                "evacuated",
+                "all upstreams that could serve the request are in evacuated failure domains: "
+                        + String.join(", ", evacuated.zones()));
+    }
+
+    private void rejectWithoutUpstream(String reason, String detail) {
+        reject(mayHaveRun ? outcomeUnknown(detail) : Rejection.notRun(reason, detail, retryAfterOutageOrPause()));
     }
 
     /** Rejects the request at once if so many others wait that it would certainly not get a slot in time. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -85,7 +85,8 @@
         this.log = log;
         this.metrics = new GatewayMetrics(registry);
         this.nodes = nodes;
-        this.placement = Placement.create(settings.failureDomain(), nodes, this::isWithinLimit, seed);
+        this.placement =
+                Placement.create(settings.failureDomain(), nodes, this::isWithinLimit, this::isAvailable, seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
@@ -147,6 +148,7 @@
         }
         serveWaiting();
         rejectWaitingWithoutUpstream();
+        rejectWaitingForEvacuated();
     }
 
     /**
@@ -290,13 +292,24 @@
             Optional<PromptShape> prompt,
             Set<String> excluded,
             boolean late) {
+        return placement.choose(
+                upstreamsOf(service), offered, placementRequest(prompt, excluded, late), timers.nanoTime());
+    }
+
+    /** Whether any upstream of a service can serve a request now or soon, whether or not it has a free slot. */
+    boolean canServe(String service, Optional<PromptShape> prompt, Set<String> excluded) {
+        return placement.canServe(upstreamsOf(service), placementRequest(prompt, excluded, false), timers.nanoTime());
+    }
+
+    private PlacementRequest placementRequest(Optional<PromptShape> prompt, Set<String> excluded, boolean late) {
         OptionalLong minimum =
                 prompt.map(shape -> minimumVersion(shape.model())).orElse(OptionalLong.empty());
-        return placement.choose(
-                upstreamsOf(service),
-                offered,
-                new PlacementRequest(prompt, excluded, minimum, late),
-                timers.nanoTime());
+        return new PlacementRequest(prompt, excluded, minimum, late);
+    }
+
+    /** Whether requests may be sent to an upstream: its failure domain is not evacuated. */
+    boolean isAvailable(Upstream upstream) {
+        return !facts.evacuatedDomains().contains(upstream.zone());
     }
 
     private boolean isWithinLimit(Upstream upstream, long nowNanos) {
@@ -376,6 +389,17 @@
         }
     }
 
+    /** Requests do not wait for upstreams in evacuated failure domains. */
+    private void rejectWaitingForEvacuated() {
+        if (facts.evacuatedDomains().isEmpty()) {
+            return;
+        }
+        serviceQueues.values().stream()
+                .flatMap(queue -> queue.waiting().items().stream())
+                .toList()
+                .forEach(ForwardedRequest::upstreamsEvacuated);
+    }
+
     /** Removes the requests that have waited too long, or would have before any upstream wants requests again. */
     private void removeUnservable(String service, long nowNanos) {
         AdmissionQueue<ForwardedRequest> waiting = serviceQueues.get(service).waiting();
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -249,6 +249,9 @@
             String name = source.name().toLowerCase(Locale.ROOT);
             metrics.gauge("upstreams.leaving." + name, () -> () -> facts.leavingCount(source));
         }
+        metrics.gauge(
+                "domains.evacuated",
+                () -> () -> facts.evacuatedDomains().zones().size());
         metrics.gauge("callers.connections", () -> callerServer::connections);
         metrics.gauge("facts.age.millis", () -> () -> synchronizer.age().toMillis());
         metrics.gauge(
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -114,7 +114,7 @@
      * @return the removed items, those that would have expired first at the front
      */
     public List<T> removeAll() {
-        List<T> removed = byExpiry.stream().map(Waiter::item).toList();
+        List<T> removed = items();
         removed.forEach(this::remove);
         return removed;
     }
@@ -146,6 +146,15 @@
         return itemIsLate ? waiters.size() : onTime.size();
     }
 
+    /**
+     * Returns the queued items.
+     *
+     * @return a copy, those that would expire first at the front
+     */
+    public List<T> items() {
+        return byExpiry.stream().map(Waiter::item).toList();
+    }
+
     /**
      * Returns the number of queued items.
      *
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -6,6 +6,8 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.function.IntSupplier;
 import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.upstream.Upstream;
@@ -39,12 +41,14 @@
     private final String zone;
     private final IntSupplier nodes;
     private final UpstreamLimit limit;
+    private final Availability availability;
     private final Random random;
 
-    private Placement(String zone, IntSupplier nodes, UpstreamLimit limit, Random random) {
+    private Placement(String zone, IntSupplier nodes, UpstreamLimit limit, Availability availability, Random random) {
         this.zone = zone;
         this.nodes = nodes;
         this.limit = limit;
+        this.availability = availability;
         this.random = random;
     }
 
@@ -97,10 +101,26 @@
      * @return the placement
      */
     public static Placement create(String zone, IntSupplier nodes, UpstreamLimit limit, long seed) {
+        return create(zone, nodes, limit, Availability.ALL, seed);
+    }
+
+    /**
+     * Creates a placement that keeps to the limits that upstreams name and to the evacuations of the operators.
+     *
+     * @param zone failure domain of this VM
+     * @param nodes number of nodes that send to the same upstreams, this one included
+     * @param limit the limits
+     * @param availability to which upstreams requests may be sent
+     * @param seed seed of the random tie breaking
+     * @return the placement
+     */
+    public static Placement create(
+            String zone, IntSupplier nodes, UpstreamLimit limit, Availability availability, long seed) {
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(nodes, "nodes");
         Objects.requireNonNull(limit, "limit");
-        return new Placement(zone, nodes, limit, new Random(seed));
+        Objects.requireNonNull(availability, "availability");
+        return new Placement(zone, nodes, limit, availability, new Random(seed));
     }
 
     /**
@@ -127,7 +147,7 @@
     public PlacementDecision choose(
             ServiceUpstreams service, List<PlacementCandidate> offered, PlacementRequest request, long nowNanos) {
         Optional<EngineProfile> engine = service.engine();
-        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), nowNanos);
+        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), availability, nowNanos);
         PlacementCandidate best = null;
         double bestScore = Double.MAX_VALUE;
         double bestPredicted = 0;
@@ -136,7 +156,7 @@
         FirstReturn firstReturn = new FirstReturn();
         for (PlacementCandidate candidate : offered) {
             if (!isEligible(candidate, engine, request, nowNanos)) {
-                starting += isStartingUp(candidate, engine, request, nowNanos) ? 1 : 0;
+                starting += isAvailable(candidate) && isStartingUp(candidate, engine, request, nowNanos) ? 1 : 0;
                 continue;
             }
             eligible++;
@@ -165,7 +185,35 @@
         }
         return starting > 0
                 ? new PlacementDecision.StartingUp(starting)
-                : new PlacementDecision.Unavailable(unavailableDetail(offered, request));
+                : withoutSuitable(offered, engine, request, nowNanos);
+    }
+
+    /** Returns why no upstream can serve a request, now or soon. */
+    private PlacementDecision withoutSuitable(
+            List<PlacementCandidate> offered, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+        SortedSet<String> evacuated = new TreeSet<>();
+        for (PlacementCandidate candidate : offered) {
+            if (!isAvailable(candidate) && isSuitable(candidate, engine, request, nowNanos)) {
+                evacuated.add(candidate.upstream().zone());
+            }
+        }
+        return evacuated.isEmpty()
+                ? new PlacementDecision.Unavailable(unavailableDetail(offered, request))
+                : new PlacementDecision.Evacuated(evacuated);
+    }
+
+    /**
+     * Tells whether any upstream of a service can serve a request now or soon, whether or not it has a free slot.
+     *
+     * @param service the upstreams of the service
+     * @param request what the request requires
+     * @param nowNanos the time, in nanoseconds
+     * @return whether one can
+     */
+    public boolean canServe(ServiceUpstreams service, PlacementRequest request, long nowNanos) {
+        return service.candidates().stream()
+                .anyMatch(candidate ->
+                        isAvailable(candidate) && isSuitable(candidate, service.engine(), request, nowNanos));
     }
 
     /**
@@ -193,7 +241,7 @@
      */
     public List<PlacementCandidate> withFreeSlot(
             ServiceUpstreams service, List<PlacementCandidate> offered, long nowNanos) {
-        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), nowNanos);
+        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), availability, nowNanos);
         return offered.stream()
                 .filter(candidate -> isEligible(candidate, service.engine(), ANY_REQUEST, nowNanos))
                 .filter(candidate -> hasCapacity(candidate, service.engine(), ANY_REQUEST, mayClaimSlots, nowNanos))
@@ -217,7 +265,23 @@
                 && !request.excluded().contains(candidate.upstream().id());
     }
 
-    private static boolean isEligible(
+    private boolean isAvailable(PlacementCandidate candidate) {
+        return availability.isAvailable(candidate.upstream());
+    }
+
+    private boolean isEligible(
+            PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+        return isAvailable(candidate) && isAbleToServe(candidate, engine, request, nowNanos);
+    }
+
+    /** Whether an upstream can serve a request now or soon, if it may get one. */
+    private static boolean isSuitable(
+            PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+        return isAbleToServe(candidate, engine, request, nowNanos)
+                || isStartingUp(candidate, engine, request, nowNanos);
+    }
+
+    private static boolean isAbleToServe(
             PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
         if (candidate.upstream().leaving()
                 || request.excluded().contains(candidate.upstream().id())) {
--- a/galenahinge/src/main/java/org/galenahinge/placement/PlacementDecision.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/PlacementDecision.java
@@ -1,6 +1,9 @@
 package org.galenahinge.placement;
 
+import java.util.Collections;
 import java.util.Objects;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** The result of choosing an upstream for a request. */
 public sealed interface PlacementDecision {
@@ -38,6 +41,21 @@
      */
     record StartingUp(int starting) implements PlacementDecision {}
 
+    /**
+     * No upstream can serve the request, now or soon, but some could if their failure domains were not evacuated.
+     *
+     * @param zones the failure domains of these upstreams, never empty
+     */
+    record Evacuated(SortedSet<String> zones) implements PlacementDecision {
+        /** Copies the set; rejects an empty one. */
+        public Evacuated {
+            if (zones.isEmpty()) {
+                throw new IllegalArgumentException("zones must not be empty");
+            }
+            zones = Collections.unmodifiableSortedSet(new TreeSet<>(zones));
+        }
+    }
+
     /**
      * No upstream can serve the request, now or soon.
      *
--- a/galenahinge/src/main/java/org/galenahinge/placement/ServiceUpstreams.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/ServiceUpstreams.java
@@ -18,21 +18,37 @@
         Objects.requireNonNull(engine, "engine");
     }
 
+    /**
+     * Returns whether this node uses less than half of its share of the slots of all engines that serve, where requests
+     * may be sent to all of them.
+     *
+     * @param nodes number of nodes that send to the service
+     * @param nowNanos the time, in nanoseconds
+     * @return whether it may claim slots that other nodes use
+     */
+    public boolean mayClaimSlots(int nodes, long nowNanos) {
+        return mayClaimSlots(nodes, Availability.ALL, nowNanos);
+    }
+
     /**
      * Returns whether this node uses less than half of its share of the slots of all engines that serve, for example
      * because it has just started, while the other nodes use theirs without a pause.
      *
      * @param nodes number of nodes that send to the service
+     * @param availability to which upstreams requests may be sent; the others and the requests there do not count
      * @param nowNanos the time, in nanoseconds
      * @return whether it may claim slots that other nodes use
      */
-    public boolean mayClaimSlots(int nodes, long nowNanos) {
+    public boolean mayClaimSlots(int nodes, Availability availability, long nowNanos) {
         if (engine.isEmpty()) {
             return true;
         }
         int own = 0;
         int serving = 0;
         for (PlacementCandidate candidate : candidates) {
+            if (!availability.isAvailable(candidate.upstream())) {
+                continue;
+            }
             own += candidate.load().ownInFlight();
             serving += candidate.load().isServing(nowNanos) ? 1 : 0;
         }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactLogTest.java
@@ -188,6 +188,64 @@
         assertThat(log.present()).containsExactly(item("other", 8, 2));
     }
 
+    /**
+     * Guards against an instruction that ends because the store was restored from a copy without it, here, at a node that
+     * started on the copy, and at the next snapshot.
+     */
+    @Test
+    void keepsAnInstructionThatTheRestoredStoreLacks() {
+        log.merge(List.of(item("other", 8), instruction(12, 1)), at(12));
+        StorePosition restored = new StorePosition(2, 11);
+        assertThat(log.mergeSnapshot(List.of(item("other", 8, 2)), restored)).isEmpty();
+        log.mergeSnapshot(List.of(item("other", 8, 2)), new StorePosition(2, 14));
+        log.mergeSettledSnapshot(List.of(item("other", 8, 2)), new StorePosition(2, 15));
+        assertThat(log.present()).extracting(FactItem::key).contains("instruction");
+        FactLog started = FactLog.create(2);
+        started.mergeSnapshot(List.of(item("other", 8, 2)), restored);
+        FactLog.Changes told = log.changesAfter(FactCursor.at(started.position()));
+        started.merge(told.items(), told.cursor().position());
+        assertThat(started.present()).extracting(FactItem::key).contains("instruction");
+        log.merge(List.of(instruction(16, 2)), new StorePosition(2, 16));
+        FactItem removal = FactItem.removed("instruction", new StorePosition(2, 17));
+        assertThat(log.merge(List.of(removal), removal.position())).hasSize(1);
+        assertThat(log.present()).extracting(FactItem::key).doesNotContain("instruction");
+    }
+
+    /** Guards against the loss of an instruction whose holder has not heard of the restore. */
+    @Test
+    void takesAnInstructionOfANodeThatHasNotHeardOfTheRestore() {
+        log.mergeSnapshot(List.of(item("other", 8, 2)), new StorePosition(2, 11));
+        log.merge(List.of(instruction(12, 1)), at(12));
+        assertThat(log.present()).extracting(FactItem::key).contains("instruction");
+    }
+
+    /** Guards against an instruction that never ends at a node that missed its removal. */
+    @Test
+    void endsAnInstructionThatASnapshotOfTheSameStoreLacks() {
+        log.merge(List.of(instruction(5, 1)), at(5));
+        assertThat(log.mergeSnapshot(List.of(), at(9))).containsExactly(removed("instruction", 9));
+        FactItem writtenAfterRestore = instruction(12, 2);
+        log.mergeSnapshot(List.of(writtenAfterRestore), new StorePosition(2, 12));
+        assertThat(log.present()).containsExactly(writtenAfterRestore);
+        log.mergeSnapshot(List.of(), new StorePosition(2, 14));
+        assertThat(log.present()).isEmpty();
+    }
+
+    /** Guards against an evacuation that has ended and begins again by itself with a restore from an older copy. */
+    @Test
+    void keepsTheEndOfAnInstructionThatTheRestoredStoreHoldsAgain() {
+        log.merge(List.of(instruction(5, 1)), at(5));
+        log.merge(List.of(removed("instruction", 9)), at(9));
+        assertThat(log.mergeSnapshot(List.of(instruction(5, 2)), new StorePosition(2, 7)))
+                .isEmpty();
+        assertThat(log.merge(List.of(instruction(8, 2)), new StorePosition(2, 8)))
+                .hasSize(1);
+    }
+
+    private static FactItem instruction(long revision, long epoch) {
+        return item("instruction", revision, epoch).withRank(FactRank.ofInstruction());
+    }
+
     private static Set<FactItem> presentItems(FactLog items) {
         return new HashSet<>(items.present());
     }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -293,6 +293,37 @@
         }
     }
 
+    /** Guards against an evacuation that ends with another one, is missed, or outlives the removal of its item. */
+    @ParameterizedTest
+    @CsvSource({"+a, a", "+a +b, a b", "+a +b -a, b", "+a -a, ''", "-a, ''", "+a +a -a, ''", "+a -a +a, a"})
+    void evacuatesTheFailureDomainsOfTheItemsThatExist(String changes, String expected) {
+        long revision = 1;
+        for (String change : List.of(changes.split(" ", -1))) {
+            String key = "evacuate " + change.substring(1);
+            StorePosition position = new StorePosition(1, revision++);
+            facts.apply(List.of(
+                    change.startsWith("+")
+                            ? FactItem.written(key, new byte[0], position)
+                            : FactItem.removed(key, position)));
+        }
+        assertThat(String.join(" ", facts.evacuatedDomains().zones())).isEqualTo(expected);
+        assertThat(facts.evacuatedDomains().contains("a"))
+                .isEqualTo(List.of(expected.split(" ", -1)).contains("a"));
+        assertThat(facts.evacuatedDomains().isEmpty()).isEqualTo(expected.isEmpty());
+    }
+
+    /** Guards against a removal that is delayed, or an evacuation that ends, because the store has just recovered. */
+    @Test
+    void keepsToTheItemsRightAfterTheStoreRecovers() {
+        facts.apply(List.of(item("evacuate a", 1)));
+        facts.storeRecovered();
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(facts.evacuatedDomains().zones()).containsExactly("a");
+        facts.storeRecovered();
+        facts.apply(List.of(FactItem.removed("evacuate a", new StorePosition(1, 2))));
+        assertThat(facts.evacuatedDomains().zones()).isEmpty();
+    }
+
     private void say(String id) {
         facts.recordLeaving(new AgedIncarnation(upstream(id, 0).incarnationKey(), Duration.ZERO), Source.RESPONSE);
     }
@@ -319,6 +350,9 @@
         if (words[0].equals("named")) {
             return new Fact.VersionNamed(new WeightsVersion("m", Long.parseLong(words[1])));
         }
+        if (words[0].equals("evacuate")) {
+            return item.removed() ? new Fact.EvacuationEnded(words[1]) : new Fact.EvacuationBegun(words[1]);
+        }
         if (item.removed()) {
             return new Fact.UpstreamAbsent(words[1], "removed");
         }
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.upstream.Upstream;
 import org.galenahinge.upstream.WeightsVersion;
@@ -237,6 +238,97 @@
         assertThat(sent).isEqualTo(FIGURES.slots() / 8);
     }
 
+    /** Guards against requests to an evacuated failure domain, however much better its upstreams are. */
+    @Test
+    void choosesNothingInAnEvacuatedFailureDomain() {
+        PlacementCandidate busy = engine("busy", "a", 1);
+        busy.load().recordReport(new LoadReport(15, 0, 20_000, 1, false, Optional.empty(), weights(1)), NOW);
+        ServiceUpstreams service = service(engine("idle", "b", 1), busy);
+        PlacementDecision.Chosen chosen =
+                (PlacementDecision.Chosen) withoutDomainB().choose(service, request(500), NOW);
+        assertThat(chosen.candidate()).isSameAs(busy);
+        assertThat(withoutDomainB().withFreeSlot(service, service.candidates(), NOW))
+                .containsExactly(busy);
+    }
+
+    /** Guards against a request that waits for a slot, a start or a named time of upstreams that get no requests. */
+    @ParameterizedTest
+    @ValueSource(strings = {"idle", "full", "starting", "paused"})
+    void namesTheEvacuationWhenNoOtherUpstreamCanServe(String state) {
+        PlacementCandidate evacuated = state.equals("starting")
+                ? new PlacementCandidate(engine("starting", "b", 1).upstream(), new UpstreamLoad(NOW))
+                : engine(state, "b", 1);
+        if (state.equals("full")) {
+            evacuated.load().recordReport(new LoadReport(16, 0, 20_000, 1, false, Optional.empty(), weights(1)), NOW);
+        }
+        if (state.equals("paused")) {
+            evacuated.load().recordRetryAfter(Duration.ofSeconds(2), 0, NOW);
+        }
+        ServiceUpstreams service = service(evacuated);
+        assertThat(withoutDomainB().choose(service, request(500), NOW))
+                .isEqualTo(new PlacementDecision.Evacuated(new TreeSet<>(Set.of("b"))));
+        assertThat(withoutDomainB().canServe(service, request(500), NOW)).isFalse();
+        assertThat(withoutDomainB().returnNanos(service, NOW)).isEmpty();
+        assertThat(placement.canServe(service, request(500), NOW)).isTrue();
+    }
+
+    /** Guards against a wrong reason where the evacuated upstreams could not serve the request anyway. */
+    @Test
+    void namesTheEvacuationOnlyIfItIsTheReason() {
+        ServiceUpstreams service = service(engine("evacuated", "b", 1));
+        assertThat(withoutDomainB().choose(service, request(400_000), NOW))
+                .isInstanceOf(PlacementDecision.Unavailable.class);
+        PlacementRequest tried = new PlacementRequest(
+                Optional.of(new PromptShape("m", 500, 80)), Set.of("evacuated"), OptionalLong.empty(), false);
+        assertThat(withoutDomainB().choose(service, tried, NOW)).isInstanceOf(PlacementDecision.Unavailable.class);
+    }
+
+    /** Guards against a rejection while an upstream elsewhere has no free slot, or asks for time. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void waitsForAnUpstreamThatIsNotEvacuated(boolean paused) {
+        PlacementCandidate staying = engine("staying", "a", 1);
+        staying.load()
+                .recordReport(
+                        new LoadReport(FIGURES.slots() + 1, 0, 20_000, 1, false, Optional.empty(), weights(1)), NOW);
+        if (paused) {
+            staying.load().recordRetryAfter(Duration.ofSeconds(2), 0, NOW);
+        }
+        long returnNanos = NOW + Duration.ofSeconds(2).toNanos();
+        ServiceUpstreams service = service(staying, engine("evacuated", "b", 1));
+        assertThat(withoutDomainB().choose(service, request(500), NOW))
+                .isEqualTo(paused ? new PlacementDecision.Paused(returnNanos) : new PlacementDecision.Full(1));
+        assertThat(withoutDomainB().returnNanos(service, NOW))
+                .isEqualTo(paused ? OptionalLong.of(returnNanos) : OptionalLong.empty());
+        assertThat(withoutDomainB().canServe(service, request(500), NOW)).isTrue();
+    }
+
+    /** Guards against slots of evacuated engines that count as this node's share, so that it claims those of others. */
+    @ParameterizedTest
+    @CsvSource({"7, true", "8, false"})
+    void claimsSlotsByItsShareOfTheEnginesThatAreNotEvacuated(int own, boolean expected) {
+        PlacementCandidate staying = engine("staying", "a", 1);
+        PlacementCandidate evacuated = engine("evacuated", "b", 1);
+        for (int request = 0; request < own; request++) {
+            staying.load().recordSent(new Object(), 500, NOW);
+        }
+        for (int request = 0; request < FIGURES.slots(); request++) {
+            evacuated.load().recordSent(new Object(), 500, NOW);
+        }
+        assertThat(service(staying, evacuated)
+                        .mayClaimSlots(1, upstream -> !upstream.zone().equals("b"), NOW))
+                .isEqualTo(expected);
+    }
+
+    private static Placement withoutDomainB() {
+        return Placement.create(
+                "a",
+                () -> 1,
+                (upstream, nowNanos) -> true,
+                upstream -> !upstream.zone().equals("b"),
+                1);
+    }
+
     private String chosen(List<PlacementCandidate> candidates, PlacementRequest request) {
         return ((PlacementDecision.Chosen) choose(candidates, request))
                 .candidate()
