--- a/galenahinge/src/main/java/org/galenahinge/history/RequestHistory.java
+++ b/galenahinge/src/main/java/org/galenahinge/history/RequestHistory.java
@@ -198,6 +198,7 @@
                         + latestEvent(LOSS_EVENTS);
             case "timeout" -> end.field("detail") + whileLoading();
             case "paused" -> end.field("detail") + latestEvent(Set.of("upstream_retry_after"));
+            case "evacuated" -> end.field("detail") + latestEvent(Set.of("evacuation_begun"));
             default ->
                 end.field("detail") + " by configuration " + end.field("config")
                         + latestEvent(Set.of("configuration_taken"));
--- a/galenahinge/src/test/java/org/galenahinge/history/RequestHistoryTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/history/RequestHistoryTest.java
@@ -25,6 +25,14 @@
         assertThat(collector.toHistory().cause().orElseThrow()).contains(expected);
     }
 
+    /** Guards against a rejection for an evacuation that is explained by the configuration. */
+    @Test
+    void namesTheEvacuationDuringTheRequest() {
+        add(1_000, "entry", "evacuation_begun", "\"zone\":\"zone-b\"");
+        add(1_040, "entry", "refused", "\"request\":\"r1\",\"status\":503,\"reason\":\"evacuated\"");
+        assertThat(collector.toHistory().cause().orElseThrow()).contains("logged evacuation_begun");
+    }
+
     /** Names a loss that the node of the request logged during the request, not the later line of another node. */
     @Test
     void namesTheUpstreamLostDuringTheRequest() {
