--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -175,6 +175,16 @@
         rejectUnavailable("all upstreams of the service leave");
     }
 
+    /** Rejects a queued request if all upstreams that could serve it have been evacuated. */
+    void upstreamsEvacuated() {
+        if (!waiting || gateway.canServe(admitted, request.metadata().prompt(), triedUpstreams)) {
+            return;
+        }
+        if (choose() instanceof PlacementDecision.Evacuated evacuated) {
+            rejectEvacuated(evacuated);
+        }
+    }
+
     CallerRequest callerRequest() {
         return request;
     }
@@ -307,6 +317,8 @@
             enqueueUntilReturn(paused.returnNanos());
         } else if (choice instanceof PlacementDecision.OutsideRegions) {
             rejectOutsideRegions();
+        } else if (choice instanceof PlacementDecision.Evacuated evacuated) {
+            rejectEvacuated(evacuated);
         } else {
             rejectUnavailable(((PlacementDecision.Unavailable) choice).detail());
         }
@@ -320,6 +332,13 @@
         rejectUnplaced("region", admitted.outsideRegionsDetail());
     }
 
+    private void rejectEvacuated(PlacementDecision.Evacuated evacuated) {
+        rejectUnplaced(
+                "evacuated",
+                "all upstreams that could serve the request are in evacuated failure domains: "
+                        + String.join(", ", evacuated.zones()));
+    }
+
     private void rejectUnplaced(String reason, String detail) {
         reject(mayHaveRun ? outcomeUnknown(detail) : Rejection.notRun(reason, detail, retryAfterOutageOrPause()));
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -89,7 +89,8 @@
         this.nodes = nodes;
         this.coldUpstreams = new ColdUpstreams(namedLimits, settings.coldStartBounds(), timers, log);
         this.limits = new UpstreamLimits(namedLimits, coldUpstreams, timers);
-        this.placement = Placement.create(settings.failureDomain(), nodes, limits, settings.regionOf(), seed);
+        this.placement =
+                Placement.create(settings.failureDomain(), nodes, limits, this::isAvailable, settings.regionOf(), seed);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
@@ -152,6 +153,7 @@
         }
         serveWaiting();
         rejectWaitingWithoutUpstream();
+        rejectWaitingForEvacuated();
     }
 
     /**
@@ -297,15 +299,33 @@
             Optional<PromptShape> prompt,
             Set<String> excluded,
             boolean late) {
-        OptionalLong minimum =
-                prompt.map(shape -> minimumVersion(shape.model())).orElse(OptionalLong.empty());
         return placement.choose(
                 upstreamsOf(admitted.service()),
                 offered,
-                new PlacementRequest(prompt, excluded, minimum, late, admitted.allowedRegions()),
+                placementRequest(admitted, prompt, excluded, late),
                 timers.nanoTime());
     }
 
+    /** Whether any upstream of a service can serve a request now or soon, whether or not it has a free slot. */
+    boolean canServe(AdmittedRequest admitted, Optional<PromptShape> prompt, Set<String> excluded) {
+        return placement.canServe(
+                upstreamsOf(admitted.service()),
+                placementRequest(admitted, prompt, excluded, false),
+                timers.nanoTime());
+    }
+
+    private PlacementRequest placementRequest(
+            AdmittedRequest admitted, Optional<PromptShape> prompt, Set<String> excluded, boolean late) {
+        OptionalLong minimum =
+                prompt.map(shape -> minimumVersion(shape.model())).orElse(OptionalLong.empty());
+        return new PlacementRequest(prompt, excluded, minimum, late, admitted.allowedRegions());
+    }
+
+    /** Whether requests may be sent to an upstream: its failure domain is not evacuated. */
+    boolean isAvailable(Upstream upstream) {
+        return !facts.evacuatedDomains().contains(upstream.zone());
+    }
+
     private ServiceUpstreams upstreamsOf(String service) {
         Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
         return new ServiceUpstreams(upstreams.candidates(service), engine);
@@ -387,6 +407,17 @@
                 .toList());
     }
 
+    /** Requests do not wait for upstreams in evacuated failure domains. */
+    private void rejectWaitingForEvacuated() {
+        if (facts.evacuatedDomains().isEmpty()) {
+            return;
+        }
+        serviceQueues.values().stream()
+                .flatMap(queue -> queue.waiting().items().stream())
+                .toList()
+                .forEach(ForwardedRequest::upstreamsEvacuated);
+    }
+
     /** Removes the requests that have waited too long, or would have before any upstream wants requests again. */
     private void removeUnservable(String service, long nowNanos) {
         AdmissionQueue<ForwardedRequest> waiting = serviceQueues.get(service).waiting();
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -168,6 +168,15 @@
         return itemIsLate ? waiters.size() : onTime.size();
     }
 
+    /**
+     * Returns the queued items.
+     *
+     * @return a copy, those that would expire first at the front
+     */
+    public List<T> items() {
+        return byExpiry.stream().map(Waiter::item).toList();
+    }
+
     /**
      * Returns the number of queued items.
      *
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -6,6 +6,8 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.function.IntSupplier;
 import java.util.function.UnaryOperator;
 import org.galenahinge.catalog.AllowedRegions;
@@ -44,13 +46,21 @@
     private final String zone;
     private final IntSupplier nodes;
     private final UpstreamLimit limit;
+    private final Availability availability;
     private final UpstreamRegions regions;
     private final Random random;
 
-    private Placement(String zone, IntSupplier nodes, UpstreamLimit limit, UpstreamRegions regions, Random random) {
+    private Placement(
+            String zone,
+            IntSupplier nodes,
+            UpstreamLimit limit,
+            Availability availability,
+            UpstreamRegions regions,
+            Random random) {
         this.zone = zone;
         this.nodes = nodes;
         this.limit = limit;
+        this.availability = availability;
         this.regions = regions;
         this.random = random;
     }
@@ -115,25 +125,33 @@
      * @return the placement
      */
     public static Placement create(String zone, IntSupplier nodes, UpstreamLimit limit, long seed) {
-        return create(zone, nodes, limit, UnaryOperator.identity(), seed);
+        return create(zone, nodes, limit, Availability.ALL, UnaryOperator.identity(), seed);
     }
 
     /**
-     * Creates a placement that keeps to the limits that upstreams name and to the regions that requests allow.
+     * Creates a placement that keeps to the limits of upstreams, to the evacuations of the operators and to the regions that
+     * requests allow.
      *
      * @param zone failure domain of this VM
      * @param nodes number of nodes that send to the same upstreams, this one included
      * @param limit the limits
+     * @param availability to which upstreams requests may be sent
      * @param regionOf returns the region of a failure domain
      * @param seed seed of the random tie breaking
      * @return the placement
      */
     public static Placement create(
-            String zone, IntSupplier nodes, UpstreamLimit limit, UnaryOperator<String> regionOf, long seed) {
+            String zone,
+            IntSupplier nodes,
+            UpstreamLimit limit,
+            Availability availability,
+            UnaryOperator<String> regionOf,
+            long seed) {
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(nodes, "nodes");
         Objects.requireNonNull(limit, "limit");
-        return new Placement(zone, nodes, limit, new UpstreamRegions(regionOf), new Random(seed));
+        Objects.requireNonNull(availability, "availability");
+        return new Placement(zone, nodes, limit, availability, new UpstreamRegions(regionOf), new Random(seed));
     }
 
     /**
@@ -160,7 +178,7 @@
     public PlacementDecision choose(
             ServiceUpstreams service, List<PlacementCandidate> offered, PlacementRequest request, long nowNanos) {
         Optional<EngineProfile> engine = service.engine();
-        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), nowNanos);
+        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), availability, nowNanos);
         PlacementCandidate best = null;
         double bestScore = Double.MAX_VALUE;
         double bestPredicted = 0;
@@ -169,7 +187,7 @@
         FirstReturn firstReturn = new FirstReturn();
         for (PlacementCandidate candidate : regions.allowed(offered, request.allowedRegions())) {
             if (!isEligible(candidate, engine, request, nowNanos)) {
-                starting += isStartingUp(candidate, engine, request, nowNanos) ? 1 : 0;
+                starting += isAvailable(candidate) && isStartingUp(candidate, engine, request, nowNanos) ? 1 : 0;
                 continue;
             }
             eligible++;
@@ -201,7 +219,35 @@
         }
         return starting > 0
                 ? new PlacementDecision.StartingUp(starting)
-                : new PlacementDecision.Unavailable(unavailableDetail(offered, request));
+                : withoutSuitable(offered, engine, request, nowNanos);
+    }
+
+    /** Returns why no upstream can serve a request, now or soon. */
+    private PlacementDecision withoutSuitable(
+            List<PlacementCandidate> offered, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+        SortedSet<String> evacuated = new TreeSet<>();
+        for (PlacementCandidate candidate : regions.allowed(offered, request.allowedRegions())) {
+            if (!isAvailable(candidate) && isSuitable(candidate, engine, request, nowNanos)) {
+                evacuated.add(candidate.upstream().zone());
+            }
+        }
+        return evacuated.isEmpty()
+                ? new PlacementDecision.Unavailable(unavailableDetail(offered, request))
+                : new PlacementDecision.Evacuated(evacuated);
+    }
+
+    /**
+     * Tells whether any upstream of a service can serve a request now or soon, whether or not it has a free slot.
+     *
+     * @param service the upstreams of the service
+     * @param request what the request requires
+     * @param nowNanos the time, in nanoseconds
+     * @return whether one can
+     */
+    public boolean canServe(ServiceUpstreams service, PlacementRequest request, long nowNanos) {
+        return regions.allowed(service.candidates(), request.allowedRegions()).stream()
+                .anyMatch(candidate ->
+                        isAvailable(candidate) && isSuitable(candidate, service.engine(), request, nowNanos));
     }
 
     /**
@@ -248,7 +294,7 @@
      */
     public List<PlacementCandidate> withFreeSlot(
             ServiceUpstreams service, List<PlacementCandidate> offered, long nowNanos) {
-        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), nowNanos);
+        boolean mayClaimSlots = service.mayClaimSlots(nodes.getAsInt(), availability, nowNanos);
         return offered.stream()
                 .filter(candidate -> isEligible(candidate, service.engine(), ANY_REQUEST, nowNanos))
                 .filter(candidate -> hasCapacity(candidate, service.engine(), ANY_REQUEST, mayClaimSlots, nowNanos))
@@ -282,7 +328,23 @@
                 && !request.excluded().contains(candidate.upstream().id());
     }
 
-    private static boolean isEligible(
+    private boolean isAvailable(PlacementCandidate candidate) {
+        return availability.isAvailable(candidate.upstream());
+    }
+
+    private boolean isEligible(
+            PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+        return isAvailable(candidate) && isAbleToServe(candidate, engine, request, nowNanos);
+    }
+
+    /** Whether an upstream can serve a request now or soon, if it may get one. */
+    private static boolean isSuitable(
+            PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
+        return isAbleToServe(candidate, engine, request, nowNanos)
+                || isStartingUp(candidate, engine, request, nowNanos);
+    }
+
+    private static boolean isAbleToServe(
             PlacementCandidate candidate, Optional<EngineProfile> engine, PlacementRequest request, long nowNanos) {
         if (candidate.upstream().leaving()
                 || request.excluded().contains(candidate.upstream().id())) {
--- a/galenahinge/src/test/java/org/galenahinge/placement/PlacementRegionsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/PlacementRegionsTest.java
@@ -20,7 +20,8 @@
     private static final long NOW = 100_000_000_000L;
     private static final Map<String, String> REGIONS = Map.of("a1", "region-a", "a2", "region-a", "b1", "region-b");
 
-    private final Placement placement = Placement.create("a1", () -> 1, (upstream, nowNanos) -> true, REGIONS::get, 1);
+    private final Placement placement =
+            Placement.create("a1", () -> 1, (upstream, nowNanos) -> true, Availability.ALL, REGIONS::get, 1);
     private final PlacementCandidate inA1 = plain("in-a1", "a1");
     private final PlacementCandidate inA2 = plain("in-a2", "a2");
     private final PlacementCandidate inB1 = plain("in-b1", "b1");
