One byte budget for what callers and upstreams have not read; an unread response is no failure of its upstream

What callers saw: while 40 callers pipelined 100 requests of 160 KB each and read nothing, an order of another caller got 503. The same with 24 callers and up to 1,000 requests of 10 KB each.

Cause: an entry does not read a response whose caller does not read. ProgressWatch took such attempts for stalled after 1.5 s ("no data received"), counted them as failures of their upstreams, and sent the requests to others. Besides, pipelined responses that arrive in one part had no limit in memory; this was read in the code, and not seen in a run.

Evidence: SlowCallersTest, 2 of 2 failed on the sources before (503 in place of 200, both cases; the log of the first case has the attempts that "stalled", that of the second rejections with reason `full`). No OutOfMemoryError was seen there.

Change: PausedReading tells an attempt that is not read from one that has stalled; an upstream that closes a response which was not read for a second has not failed, and the request ends with outcome unknown. BufferBudget, a quarter of the heap, counts unread bytes of all connections: above half, callers with unread bytes take no more; above 7/8, the connections with the most are closed.

Run: SlowCallersTest (2), StopDeliveryTest (10), EndlessBodyTest (10), BrokenStreamTest (164), PipelinedRequestsTest (4), the tests of the package gateway (132, among them BufferBudgetTest with 9), green. The whole suite was not run.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -49,6 +49,8 @@
     private final long placedVersion;
     private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
     private final EventSplitter splitter = new EventSplitter(MAXIMUM_EVENT_BYTES);
+    private final PausedReading paused;
+    private Optional<UnreadRequest> unread = Optional.empty();
     private Optional<HttpConnection> connection = Optional.empty();
     private CompositeByteBuf buffered = Unpooled.compositeBuffer(64);
     private HttpHeaders headers = new DefaultHttpHeaders();
@@ -77,6 +79,7 @@
         this.predictedMillis = predictedMillis;
         this.exactVersion = exactVersion;
         this.startedNanos = request.gateway().timers().nanoTime();
+        this.paused = new PausedReading(request.gateway().timers());
         this.progress = new ProgressWatch(request.gateway().timers(), this::mayRetryElsewhere, this::abort);
         this.placedVersion = Math.max(exactVersion.orElse(0L), believedVersion(candidate));
     }
@@ -114,6 +117,7 @@
         sent = true;
         request.gateway().unstartedAttempts().add(this);
         open.send(head(), Unpooled.wrappedBuffer(request.callerRequest().body()), this);
+        trackUnread(open);
         progress.abandonStalled(stallTimeout());
         if (request.route().kind().isStream() && request.route().kind().isIdempotent()) {
             progress.abandonUnresponsive(() -> candidate.load().isReportOverdue(now()));
@@ -177,7 +181,10 @@
             buffer(content);
         }
         if (!done && !request.response().isWritable()) {
-            connection.ifPresent(open -> open.setReading(false));
+            connection.ifPresent(open -> {
+                open.setReading(false);
+                paused.begin();
+            });
         }
     }
 
@@ -201,6 +208,10 @@
     @Override
     public void onFailure(String detail) {
         connection = Optional.empty();
+        if (paused.mayExplainALoss()) {
+            endForSlowCaller();
+            return;
+        }
         recordLostConnection();
         candidate.load().recordEnd(this, false, now());
         end(Outcome.UNKNOWN, detail);
@@ -225,6 +236,9 @@
     }
 
     void resume() {
+        if (paused.end()) {
+            progress.recordProgress();
+        }
         connection.ifPresent(open -> open.setReading(true));
     }
 
@@ -579,6 +593,27 @@
         request.gateway().serveWaitingAt(upstreamId());
     }
 
+    private void trackUnread(HttpConnection open) {
+        if (done) {
+            return;
+        }
+        BufferBudget budget = request.gateway().bufferBudget();
+        UnreadRequest sending = new UnreadRequest(open, () -> abort("the upstream does not read the request"));
+        unread = Optional.of(sending);
+        budget.add(sending);
+        budget.recordWritten(request.callerRequest().body().length);
+    }
+
+    /** Ends an attempt whose upstream has closed a response that was not read. The upstream has not failed. */
+    private void endForSlowCaller() {
+        candidate.load().discard(this);
+        done = true;
+        stopChecks();
+        buffered.release();
+        request.endForSlowCaller();
+        request.gateway().serveWaitingAt(upstreamId());
+    }
+
     private void closeConnection() {
         connection.ifPresent(HttpConnection::close);
         connection = Optional.empty();
@@ -601,12 +636,15 @@
         return Duration.ofMillis((long) (request.remainingTime().toMillis() * STALL_TIMEOUT_SHARE_OF_REMAINING_TIME));
     }
 
+    /** An attempt whose response is not being read, because its caller does not read, has not stalled. */
     private boolean mayRetryElsewhere() {
-        return request.route().kind().isIdempotent() && request.mayRetryElsewhere();
+        return !paused.isPaused() && request.route().kind().isIdempotent() && request.mayRetryElsewhere();
     }
 
     /** Ends all checks of the progress that the attempt makes. */
     private void stopChecks() {
+        unread.ifPresent(request.gateway().bufferBudget()::remove);
+        unread = Optional.empty();
         request.gateway().unstartedAttempts().remove(this);
         progress.end();
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -26,7 +26,7 @@
 import org.galenahinge.log.EventLog.Category;
 
 /** A connection of a caller: reads its requests one after another and writes their responses. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements BufferBudget.Holder {
     private static final int MAXIMUM_QUEUED_MESSAGES = 256;
     private static final int MAXIMUM_REQUESTS_PER_TURN = 16;
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
@@ -49,6 +49,7 @@
     private long waitingSinceNanos;
     private boolean reading;
     private boolean processing;
+    private boolean heldBack;
     private Optional<ForwardedRequest> active = Optional.empty();
     private boolean closing;
 
@@ -60,7 +61,7 @@
 
     /** Called for received bytes before they are decoded, so that the time for a head counts from its first byte. */
     void bytesReceived() {
-        if (reading || active.isPresent() || closing) {
+        if (reading || active.isPresent() || closing || heldBack) {
             return;
         }
         reading = true;
@@ -109,10 +110,47 @@
         }
     }
 
+    @Override
+    public long unreadBytes() {
+        return delivery.unreadBytes();
+    }
+
+    /** A request whose response cannot be delivered ends as one whose caller has disconnected. */
+    @Override
+    public void giveWay() {
+        gateway.log()
+                .event(Category.FAILURE, "caller_too_slow")
+                .with(
+                        "request",
+                        active.map(running -> running.callerRequest().requestId())
+                                .orElse(""))
+                .with("unread_bytes", delivery.unreadBytes())
+                .with("budget_bytes", gateway.bufferBudget().maximumBytes())
+                .write();
+        gateway.metrics().closedSlowCaller();
+        close();
+    }
+
+    @Override
+    public void resume() {
+        if (closing) {
+            return;
+        }
+        if (delivery.mayTakeMore()) {
+            active.ifPresent(ForwardedRequest::resumeReading);
+        }
+        if (heldBack && !delivery.isHeldBack()) {
+            heldBack = false;
+            context.channel().config().setAutoRead(true);
+            processQueued();
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
-        delivery = new CallerDelivery(newContext);
+        delivery = new CallerDelivery(newContext, gateway.bufferBudget());
+        gateway.bufferBudget().add(this);
         waitingSinceNanos = gateway.timers().nanoTime();
         server.opened(this);
         startIdleTimer();
@@ -140,6 +178,11 @@
         try {
             int requests = 0;
             while (active.isEmpty() && !closing && !queued.isEmpty()) {
+                if (queued.peek() instanceof HttpRequest && delivery.isHeldBack()) {
+                    heldBack = true;
+                    context.channel().config().setAutoRead(false);
+                    return;
+                }
                 if (queued.peek() instanceof HttpRequest && ++requests > MAXIMUM_REQUESTS_PER_TURN) {
                     context.executor().execute(this::processQueued);
                     return;
@@ -154,7 +197,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext newContext) {
         if (newContext.channel().isWritable()) {
-            active.ifPresent(ForwardedRequest::resumeReading);
+            resume();
         }
     }
 
@@ -165,6 +208,7 @@
         queued.forEach(ReferenceCountUtil::release);
         queued.clear();
         server.closed(this);
+        gateway.bufferBudget().remove(this);
         active.ifPresent(ForwardedRequest::callerDisconnected);
         active = Optional.empty();
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import java.util.Objects;
 
@@ -14,13 +15,18 @@
     /** The bytes of a response that its caller is taken to have received soon after they were given to the network. */
     private static final int SMALL_RESPONSE_BYTES = 32 << 10;
 
+    /** The bytes that each caller may leave unread while the budget is short. */
+    private static final int UNREAD_BYTES_UNDER_PRESSURE = 32 << 10;
+
     private final ChannelHandlerContext context;
+    private final BufferBudget budget;
     private long responseBytes;
     private int unwrittenResponses;
     private boolean bodyEndsWithConnection;
 
-    CallerDelivery(ChannelHandlerContext context) {
+    CallerDelivery(ChannelHandlerContext context, BufferBudget budget) {
         this.context = Objects.requireNonNull(context, "context");
+        this.budget = Objects.requireNonNull(budget, "budget");
     }
 
     /** Records the begin of a response. */
@@ -31,6 +37,23 @@
     /** Records a part of the body of a response that is given to the network. */
     void partWritten(int bytes) {
         responseBytes += bytes;
+        budget.recordWritten(bytes);
+    }
+
+    /** Returns how many bytes were written and not given to the network, because the caller does not read. */
+    long unreadBytes() {
+        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
+        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+    }
+
+    /** Whether the rest of a response may be read from its upstream. */
+    boolean mayTakeMore() {
+        return context.channel().isWritable() && !isHeldBack();
+    }
+
+    /** Whether no further response may begin, because the budget is short and the caller has not read those before. */
+    boolean isHeldBack() {
+        return budget.isUnderPressure() && unreadBytes() > UNREAD_BYTES_UNDER_PRESSURE;
     }
 
     /** Whether the network may hold a part of the last response that a caller which reads slowly has not received. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerResponseWriter.java
@@ -121,7 +121,7 @@
 
     @Override
     public boolean isWritable() {
-        return context.channel().isWritable();
+        return delivery.mayTakeMore();
     }
 
     private boolean isFinished() {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -103,6 +103,15 @@
         return connections.size();
     }
 
+    /**
+     * Returns how much of their responses the callers have not read.
+     *
+     * @return the bytes that were not given to the network
+     */
+    public long unreadBytes() {
+        return connections.stream().mapToLong(CallerConnection::unreadBytes).sum();
+    }
+
     /** An error at one connection ends that one only. */
     private void forEachConnection(Consumer<CallerConnection> action) {
         for (CallerConnection connection : List.copyOf(connections)) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -228,6 +228,15 @@
         return false;
     }
 
+    /** Ends a request that has run, and whose caller read the response too slowly for its upstream. */
+    void endForSlowCaller() {
+        if (!ended) {
+            currentAttempt = Optional.empty();
+            mayHaveRun = true;
+            reject(outcomeUnknown("the caller read too slowly, and the upstream closed the response"));
+        }
+    }
+
     /** Whether the current attempt may be abandoned for a retry at another upstream that is available now. */
     boolean mayRetryElsewhere() {
         return decide(Outcome.UNKNOWN) == Next.SEND_AGAIN && choose() instanceof PlacementDecision.Chosen;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -61,6 +61,7 @@
     private final CrashDetector crashDetector;
     private final NamedLimits namedLimits;
     private final UnstartedAttempts unstartedAttempts;
+    private final BufferBudget bufferBudget;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
     private boolean queueScanScheduled;
@@ -92,6 +93,7 @@
         this.namedLimits = namedLimits;
         this.unstartedAttempts = new UnstartedAttempts(timers, this::versionRequiredToBegin);
         this.crashDetector = new CrashDetector(crashLedger, timers, log);
+        this.bufferBudget = BufferBudget.ofHeap(Runtime.getRuntime().maxMemory(), timers);
         registry.gauge("upstream.known", () -> upstreams::size);
     }
 
@@ -208,6 +210,11 @@
         return log;
     }
 
+    /** Returns the budget for bytes that callers and upstreams have not read. */
+    BufferBudget bufferBudget() {
+        return bufferBudget;
+    }
+
     GatewayMetrics metrics() {
         return metrics;
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/GatewayMetrics.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/GatewayMetrics.java
@@ -14,6 +14,7 @@
     private final Counter retries;
     private final Counter retryAfters;
     private final Counter withdrawn;
+    private final Counter closedSlowCallers;
     private final Histogram firstByteMillis;
     private final Histogram predictionErrorMillis;
     private final Histogram waitedMillis;
@@ -24,6 +25,7 @@
         this.retries = registry.counter("gateway.repeats");
         this.retryAfters = registry.counter("upstream.retry_after");
         this.withdrawn = registry.counter("gateway.withdrawn");
+        this.closedSlowCallers = registry.counter("callers.closed.slow");
         this.firstByteMillis = histogram("gateway.first_byte.millis");
         this.predictionErrorMillis = histogram("gateway.prediction_error.millis");
         this.waitedMillis = histogram("gateway.waited.millis");
@@ -47,6 +49,11 @@
         withdrawn.inc();
     }
 
+    /** Counts a connection that was closed because its caller did not read, and the budget for buffers was exceeded. */
+    void closedSlowCaller() {
+        closedSlowCallers.inc();
+    }
+
     void ended(String outcome) {
         registry.counter("gateway.ended." + outcome).inc();
     }
--- a/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -270,6 +271,16 @@
         channel.config().setAutoRead(reading);
     }
 
+    /**
+     * Returns how much of a request the server has not taken.
+     *
+     * @return the bytes that were not given to the network
+     */
+    public long unwrittenBytes() {
+        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+    }
+
     void handle(HttpObject message) {
         if (listener == null) {
             // Bytes without a request: anything that follows on this connection could be mistaken for a response.
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -250,6 +250,7 @@
             metrics.gauge("upstreams.leaving." + name, () -> () -> facts.leavingCount(source));
         }
         metrics.gauge("callers.connections", () -> callerServer::connections);
+        metrics.gauge("callers.unread.bytes", () -> callerServer::unreadBytes);
         metrics.gauge("facts.age.millis", () -> () -> synchronizer.age().toMillis());
         metrics.gauge(
                 "config.version",
