--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -63,6 +63,7 @@
     private final ColdUpstreams coldUpstreams;
     private final UpstreamLimits limits;
     private final UnstartedAttempts unstartedAttempts;
+    private final BufferBudget bufferBudget;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
     private boolean queueScanScheduled;
@@ -96,6 +97,7 @@
         this.crashLedger = crashLedger;
         this.unstartedAttempts = new UnstartedAttempts(timers, this::versionRequiredToBegin);
         this.crashDetector = new CrashDetector(crashLedger, timers, log);
+        this.bufferBudget = BufferBudget.ofHeap(Runtime.getRuntime().maxMemory(), timers);
         registry.gauge("upstream.known", () -> upstreams::size);
         registry.gauge("upstreams.cold", () -> coldUpstreams::count);
     }
@@ -215,6 +217,11 @@
         return log;
     }
 
+    /** Returns the budget for bytes that callers and upstreams have not read. */
+    BufferBudget bufferBudget() {
+        return bufferBudget;
+    }
+
     GatewayMetrics metrics() {
         return metrics;
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -271,6 +271,7 @@
                 "domains.evacuated",
                 () -> () -> facts.evacuatedDomains().zones().size());
         metrics.gauge("callers.connections", () -> callerServer::connections);
+        metrics.gauge("callers.unread.bytes", () -> callerServer::unreadBytes);
         metrics.gauge("facts.age.millis", () -> () -> synchronizer.age().toMillis());
         metrics.gauge(
                 "config.version",
