--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -70,6 +70,33 @@
         public int directory() {
             return directory;
         }
+
+        /**
+         * Returns the port where other nodes connect.
+         *
+         * @return the TCP port
+         */
+        public int nodes() {
+            return control;
+        }
+
+        /**
+         * Returns the port for membership datagrams.
+         *
+         * @return the UDP port
+         */
+        public int membership() {
+            return internal;
+        }
+
+        /**
+         * Returns the port on which an entry receives what other entries tell it of upstreams.
+         *
+         * @return the UDP port
+         */
+        public int gossip() {
+            return internal + 3;
+        }
     }
 
     /**
@@ -114,10 +141,22 @@
      * @param port the port on which it listens on the loopback address
      */
     public void putUpstream(String id, String service, int port) {
+        putUpstream(id, service, port, 16);
+    }
+
+    /**
+     * Writes the record of an upstream that a test runs itself. It has version 1 of the weights.
+     *
+     * @param id the upstream's id
+     * @param service the name of its service
+     * @param port the port on which it listens on the loopback address
+     * @param slots the number of its slots
+     */
+    public void putUpstream(String id, String service, int port, int slots) {
         store.put(
                 "servers/" + id,
                 "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port
-                        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\","
+                        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"ready\","
                         + "\"cold_remaining_ms\":0,\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
                         + "\"layers\":{\"from\":0,\"to\":16,\"version\":1},\"seq\":0,\"born\":1}");
     }
