Long prompts beside short ones: waiting time and order by prefill time, and a model of mixed prompts

Short prompts wait longer for a slot than long ones, waiting requests are ordered by the end of their wait, and placement expects unread prompts where other nodes have requests. It takes effect where the engine publishes the size of its usual prompt and the service has streams of different targets.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -84,7 +84,7 @@
         requestLog.setAdmitted(admitted);
         queue = gateway.serviceQueue(admitted.service());
         queue.retryBudget().recordRequest(gateway.timers().nanoTime());
-        deadlines = RequestDeadlines.of(request, admitted.route());
+        deadlines = RequestDeadlines.of(request, admitted.route(), gateway.promptSizes(admitted.service()));
         timeoutTimer = Optional.of(gateway.timers().schedule(remainingTime(), this::deadlineReached));
         place();
     }
@@ -334,7 +334,7 @@
                         .offer(
                                 this,
                                 admitted.priority(),
-                                request.arrivedNanos(),
+                                deadlines.waitingSinceNanos(),
                                 deadlines.onTimeNanos(),
                                 waitEndNanos);
         if (!queued) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.galenahinge.placement.PlacementRate;
 import org.galenahinge.placement.PlacementRequest;
 import org.galenahinge.placement.PromptShape;
+import org.galenahinge.placement.PromptSizePolicy;
 import org.galenahinge.placement.ServiceRetryBudget;
 import org.galenahinge.placement.ServiceUpstreams;
 import org.galenahinge.quarantine.CrashLedger;
@@ -61,6 +62,7 @@
     private final CrashDetector crashDetector;
     private final ColdUpstreams coldUpstreams;
     private final UpstreamLimits limits;
+    private final PromptSizePolicies promptSizes;
     private final UnstartedAttempts unstartedAttempts;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
     private final Set<ForwardedRequest> awaitingConfiguration = new LinkedHashSet<>();
@@ -89,6 +91,7 @@
         this.coldUpstreams = new ColdUpstreams(namedLimits, settings.coldStartBounds(), timers, log);
         this.limits = new UpstreamLimits(namedLimits, coldUpstreams, timers);
         this.placement = Placement.create(settings.failureDomain(), nodes, limits, seed);
+        this.promptSizes = new PromptSizePolicies(log, registry);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
@@ -144,6 +147,7 @@
     public void factsChanged() {
         upstreams.refresh(facts.upstreams());
         coldUpstreams.refresh(facts.upstreams(), facts.catalog());
+        promptSizes.refresh(facts.catalog());
         if (facts.catalog().isPresent()) {
             List<ForwardedRequest> starting = List.copyOf(awaitingConfiguration);
             awaitingConfiguration.clear();
@@ -258,6 +262,11 @@
         return limits;
     }
 
+    /** Returns how a service treats prompts of different sizes. */
+    PromptSizePolicy promptSizes(String service) {
+        return promptSizes.of(service);
+    }
+
     double randomFraction() {
         return random.nextDouble();
     }
@@ -301,7 +310,7 @@
 
     private ServiceUpstreams upstreamsOf(String service) {
         Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
-        return new ServiceUpstreams(upstreams.candidates(service), engine);
+        return new ServiceUpstreams(upstreams.candidates(service), engine, promptSizes.of(service));
     }
 
     /** The newest version whose rollout time is nearly over; requests must not start on an older one. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestDeadlines.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestDeadlines.java
@@ -1,7 +1,10 @@
 package org.galenahinge.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.galenahinge.catalog.Route;
+import org.galenahinge.placement.PromptShape;
+import org.galenahinge.placement.PromptSizePolicy;
 
 /**
  * The points in time that limit one request, in nanoseconds of the monotonic clock.
@@ -10,8 +13,11 @@
  * @param onTimeNanos when the response must start to meet the route's target latency, which counts from the caller's
  *     first attempt
  * @param deadlineNanos when the response must be complete
+ * @param timeToFirstEvent how long before its target the request stops waiting for a slot
+ * @param waitingSinceNanos when it counts as having arrived among the requests that wait for a slot
  */
-record RequestDeadlines(long arrivedNanos, long onTimeNanos, long deadlineNanos) {
+record RequestDeadlines(
+        long arrivedNanos, long onTimeNanos, long deadlineNanos, Duration timeToFirstEvent, long waitingSinceNanos) {
     private static final Duration MINIMUM_QUEUE_WAIT = Duration.ofMillis(60);
     private static final Duration TIME_TO_FIRST_EVENT = Duration.ofMillis(220);
     private static final double LOADING_WAIT_SHARE = 0.3;
@@ -26,6 +32,11 @@
      * its first attempt, from which the target latency counts.
      */
     static RequestDeadlines of(CallerRequest request, Route route) {
+        return of(request, route, PromptSizePolicy.NONE);
+    }
+
+    /** Derives the points in time like {@link #of(CallerRequest, Route)}, with regard to the size of the prompt. */
+    static RequestDeadlines of(CallerRequest request, Route route, PromptSizePolicy promptSizes) {
         Duration remaining = request.metadata()
                 .remainingTime()
                 .filter(time -> time.compareTo(route.timeout()) < 0)
@@ -33,13 +44,26 @@
         Duration spent = route.timeout().minus(remaining);
         long arrived = request.arrivedNanos();
         long onTime = arrived - spent.toNanos() + route.targetLatency().toNanos();
-        return new RequestDeadlines(arrived, onTime, arrived + remaining.toNanos());
+        long deadline = arrived + remaining.toNanos();
+        Optional<PromptShape> prompt = request.metadata().prompt();
+        if (prompt.isEmpty()) {
+            return new RequestDeadlines(arrived, onTime, deadline, TIME_TO_FIRST_EVENT, arrived);
+        }
+        Duration timeToFirstEvent = promptSizes.timeToFirstEvent(prompt.get(), TIME_TO_FIRST_EVENT);
+        long waitEnd = slotWaitEndNanos(arrived, onTime, deadline, timeToFirstEvent);
+        long waitingSince = promptSizes.waitingSinceNanos(arrived, waitEnd);
+        return new RequestDeadlines(arrived, onTime, deadline, timeToFirstEvent, waitingSince);
     }
 
     /** Returns when to stop waiting for a free slot, in nanoseconds: when the response can no longer start on time. */
     long slotWaitEndNanos() {
+        return slotWaitEndNanos(arrivedNanos, onTimeNanos, deadlineNanos, timeToFirstEvent);
+    }
+
+    private static long slotWaitEndNanos(
+            long arrivedNanos, long onTimeNanos, long deadlineNanos, Duration timeToFirstEvent) {
         long onTimeWaitEnd =
-                Math.max(arrivedNanos + MINIMUM_QUEUE_WAIT.toNanos(), onTimeNanos - TIME_TO_FIRST_EVENT.toNanos());
+                Math.max(arrivedNanos + MINIMUM_QUEUE_WAIT.toNanos(), onTimeNanos - timeToFirstEvent.toNanos());
         return Math.min(deadlineNanos, onTimeWaitEnd);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/Placement.java
@@ -161,6 +161,7 @@
             double predicted = predictMillis(candidate, engine, request, nowNanos);
             double score = predicted
                     + penaltyMillis(candidate, request, nowNanos)
+                    + (request.prompt().isEmpty() ? 0 : service.promptSizes().penaltyMillis(candidate.load(), nowNanos))
                     + overrunMillis(candidate, engine, request, predicted, nowNanos) * OVERRUN_WEIGHT
                     + random.nextDouble() * TIE_MILLIS;
             if (score < bestScore) {
--- a/galenahinge/src/main/java/org/galenahinge/placement/ServiceUpstreams.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/ServiceUpstreams.java
@@ -10,12 +10,25 @@
  *
  * @param candidates the upstreams
  * @param engine the figures of the service's engines, empty for a plain service
+ * @param promptSizes how prompts of different sizes are treated
  */
-public record ServiceUpstreams(List<PlacementCandidate> candidates, Optional<EngineProfile> engine) {
+public record ServiceUpstreams(
+        List<PlacementCandidate> candidates, Optional<EngineProfile> engine, PromptSizePolicy promptSizes) {
     /** Rejects null components and copies the upstreams. */
     public ServiceUpstreams {
         candidates = List.copyOf(candidates);
         Objects.requireNonNull(engine, "engine");
+        Objects.requireNonNull(promptSizes, "promptSizes");
+    }
+
+    /**
+     * Creates a service that treats prompts of all sizes alike.
+     *
+     * @param candidates the upstreams
+     * @param engine the figures of the service's engines, empty for a plain service
+     */
+    public ServiceUpstreams(List<PlacementCandidate> candidates, Optional<EngineProfile> engine) {
+        this(candidates, engine, PromptSizePolicy.NONE);
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/UpstreamLoad.java
@@ -335,6 +335,15 @@
         return valid ? Math.max(share.of(free), equalShare) : equalShare;
     }
 
+    /**
+     * Returns the smoothed time from sending a request to the end of its response.
+     *
+     * @return milliseconds
+     */
+    public double residenceMillis() {
+        return residenceMillis;
+    }
+
     /**
      * Estimates the work that the engine has accepted, as input for a prediction.
      *
