--- a/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
@@ -8,9 +8,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.galenahinge.catalog.Backend;
+import org.galenahinge.catalog.EngineProfile;
 import org.galenahinge.catalog.RequestKind;
 import org.galenahinge.catalog.Route;
+import org.galenahinge.placement.MixedPromptSizes;
+import org.galenahinge.placement.PromptShape;
+import org.galenahinge.placement.PromptSizePolicy;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -29,6 +34,23 @@
             2,
             false);
 
+    private static final EngineProfile ENGINE = new EngineProfile(
+            12, 685_000, 7.4, 0.0232, 0.0322, 31.9, 1.18, 2_048, 5, 16, 64, 32_768, List.of("m"), OptionalInt.of(949));
+    private static final Route OTHER_ROUTE = new Route(
+            "o",
+            "h",
+            "/o/",
+            RequestKind.STREAM,
+            Duration.ofSeconds(6),
+            Duration.ofMillis(800),
+            Duration.ofMillis(400),
+            1,
+            List.of(new Backend("s", 1)),
+            2,
+            false);
+    private static final PromptSizePolicy PROMPT_SIZES =
+            MixedPromptSizes.select(Optional.of(ENGINE), List.of(ROUTE, OTHER_ROUTE));
+
     /** A first attempt has the route's full timeout; a retry one second later is late and waits only the minimum. */
     @ParameterizedTest
     @CsvSource({"6032, 400, 6000, 180", "6000, 400, 6000, 180", "5800, 200, 5800, 60", "5000, -600, 5000, 60"})
@@ -61,17 +83,47 @@
         assertThat(millis(deadlines.pauseWaitEndNanos(returnNanos))).isEqualTo(expectedMillis);
     }
 
+    /** Guards against a change of behaviour for services that treat prompts of all sizes alike, and for plain requests. */
+    @ParameterizedTest
+    @CsvSource({"6000, 1", "6000, 3880", "5800, 949", "20, 949"})
+    void isUnchangedWithoutAPolicyOrAPrompt(long remainingMillis, int promptTokens) {
+        RequestDeadlines plain = RequestDeadlines.of(request(remainingMillis), ROUTE);
+        assertThat(plain.waitingSinceNanos()).isEqualTo(ARRIVED);
+        assertThat(RequestDeadlines.of(request(remainingMillis, promptTokens), ROUTE))
+                .isEqualTo(plain);
+        assertThat(RequestDeadlines.of(request(remainingMillis), ROUTE, PROMPT_SIZES))
+                .isEqualTo(plain);
+    }
+
+    /**
+     * Guards against a short prompt that stops waiting although a slot would still be in time, and against a wait past the
+     * deadline. A long prompt waits as without the policy, and is ordered by the end of its wait.
+     */
+    @ParameterizedTest
+    @CsvSource({"6000, 1, 300, 300", "6000, 949, 270, 270", "6000, 3880, 180, 180", "5900, 1, 200, 200", "20, 1, 20, 20"
+    })
+    void waitsAsLongAsThePromptCanStillBeReadInTime(
+            long remainingMillis, int promptTokens, long waitMillis, long orderMillis) {
+        RequestDeadlines deadlines = RequestDeadlines.of(request(remainingMillis, promptTokens), ROUTE, PROMPT_SIZES);
+        assertThat(millis(deadlines.slotWaitEndNanos())).isEqualTo(waitMillis);
+        assertThat(millis(deadlines.waitingSinceNanos())).isEqualTo(orderMillis);
+    }
+
     private static long millis(long nanos) {
         return Duration.ofNanos(nanos - ARRIVED).toMillis();
     }
 
     private static CallerRequest request(long remainingMillis) {
+        return request(remainingMillis, Optional.empty());
+    }
+
+    private static CallerRequest request(long remainingMillis, int promptTokens) {
+        return request(remainingMillis, Optional.of(new PromptShape("m", promptTokens, 100)));
+    }
+
+    private static CallerRequest request(long remainingMillis, Optional<PromptShape> prompt) {
         RequestMetadata metadata = new RequestMetadata(
-                Optional.empty(),
-                Optional.of(Duration.ofMillis(remainingMillis)),
-                Optional.empty(),
-                Optional.empty(),
-                List.of());
+                Optional.empty(), Optional.of(Duration.ofMillis(remainingMillis)), Optional.empty(), prompt, List.of());
         return new CallerRequest(
                 HttpMethod.POST, "/x", HttpVersion.HTTP_1_1, new DefaultHttpHeaders(), new byte[0], metadata, ARRIVED);
     }
