--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.galenahinge.placement.PlacementRate;
 import org.galenahinge.placement.PlacementRequest;
 import org.galenahinge.placement.PromptShape;
+import org.galenahinge.placement.PromptSizePolicy;
 import org.galenahinge.placement.ServiceRetryBudget;
 import org.galenahinge.placement.ServiceUpstreams;
 import org.galenahinge.quarantine.CrashLedger;
@@ -62,6 +63,7 @@
     private final CrashDetector crashDetector;
     private final ColdUpstreams coldUpstreams;
     private final UpstreamLimits limits;
+    private final PromptSizePolicies promptSizes;
     private final UnstartedAttempts unstartedAttempts;
     private final BufferBudget bufferBudget;
     private final Map<String, ServiceQueue> serviceQueues = new HashMap<>();
@@ -92,6 +94,7 @@
         this.limits = new UpstreamLimits(namedLimits, coldUpstreams, timers);
         this.placement =
                 Placement.create(settings.failureDomain(), nodes, limits, this::isAvailable, settings.regionOf(), seed);
+        this.promptSizes = new PromptSizePolicies(log, registry);
         this.random = new Random(seed);
         this.upstreams = new UpstreamTable(loop, timers, registry.counter("upstream.connections.opened"));
         this.crashLedger = crashLedger;
@@ -148,6 +151,7 @@
     public void factsChanged() {
         upstreams.refresh(facts.upstreams());
         coldUpstreams.refresh(facts.upstreams(), facts.catalog());
+        promptSizes.refresh(facts.catalog());
         if (facts.catalog().isPresent()) {
             List<ForwardedRequest> starting = List.copyOf(awaitingConfiguration);
             awaitingConfiguration.clear();
@@ -273,6 +277,11 @@
         return limits;
     }
 
+    /** Returns how a service treats prompts of different sizes. */
+    PromptSizePolicy promptSizes(String service) {
+        return promptSizes.of(service);
+    }
+
     double randomFraction() {
         return random.nextDouble();
     }
@@ -335,7 +344,7 @@
 
     private ServiceUpstreams upstreamsOf(String service) {
         Optional<EngineProfile> engine = facts.catalog().flatMap(catalog -> catalog.engineProfile(service));
-        return new ServiceUpstreams(upstreams.candidates(service), engine);
+        return new ServiceUpstreams(upstreams.candidates(service), engine, promptSizes.of(service));
     }
 
     /** The newest version whose rollout time is nearly over; requests must not start on an older one. */
