--- a/galenahinge/src/test/java/org/galenahinge/node/PromptMixTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/PromptMixTest.java
@@ -24,6 +24,10 @@
  */
 class PromptMixTest {
     private static final int SEEDS = 6;
+
+    /** The first seed; the policy's constants were chosen with the seeds 0 to 5. */
+    private static final int FIRST_SEED = 100;
+
     private static final Duration TIME = Duration.ofMinutes(2);
     private static final double LOAD = 0.85;
     private static final List<Route> ROUTES =
@@ -94,7 +98,7 @@
     }
 
     private static List<PromptMixModel> run(EngineProfile engine, double longShare, PromptSizePolicy policy) {
-        return IntStream.range(0, SEEDS)
+        return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
                 .parallel()
                 .mapToObj(seed -> {
                     PromptMixModel model = new PromptMixModel(14, 9, engine, longShare, policy, seed);
