A turn at a cold upstream is kept when records are read again

Each change of any record discarded the turns at cold upstreams that had begun and were not used, since the first turn counted from the time of the reading. Found by reading; ColdUpstreamsTest.keepsATurnWhenRecordsAreReadAgain failed before. The first turn of a cold time is fixed when it begins now. A start of turns that is in use no longer expires while no record changes.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ColdUpstreams.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ColdUpstreams.java
@@ -35,7 +35,7 @@
     private Map<String, Upstream> warm = Map.of();
 
     /** A record that gives a cold time. */
-    private record ColdRecord(long incarnation, long revision, long endNanos, Duration total) {
+    private record ColdRecord(long incarnation, long revision, long firstTurnNanos, long endNanos, Duration total) {
         boolean isOf(Upstream upstream) {
             return incarnation == upstream.incarnationKey();
         }
@@ -108,13 +108,18 @@
         boolean wasCold = isKnown && now - known.endNanos() < 0;
         boolean isCold = now - endNanos < 0;
         Duration total = longer(coldStart.duration(), upstream.coldRemaining());
-        records.put(upstream.id(), new ColdRecord(upstream.incarnationKey(), upstream.revision(), endNanos, total));
+        boolean servedWhileWarm = (isKnown && !wasCold) || wasWarm(upstream);
+        long firstTurnNanos = servedWhileWarm ? now + PAUSE_BEFORE_FIRST_TURN.toNanos() : now;
+        if (wasCold) {
+            firstTurnNanos = known.firstTurnNanos();
+        }
+        records.put(
+                upstream.id(),
+                new ColdRecord(upstream.incarnationKey(), upstream.revision(), firstTurnNanos, endNanos, total));
         if (!isCold) {
             limits.setWarm(upstream.incarnationKey());
             return;
         }
-        boolean servedWhileWarm = (isKnown && !wasCold) || wasWarm(upstream);
-        long firstTurnNanos = servedWhileWarm ? now + PAUSE_BEFORE_FIRST_TURN.toNanos() : now;
         limits.setCold(
                 upstream.incarnationKey(),
                 new ColdPeriod(TurnRate.within(bounds, coldStart.requestsPerSecond()), firstTurnNanos, endNanos),
--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -323,7 +323,10 @@
         }
         long turnNanos = turn.getAsLong();
         states.computeIfPresent(upstream, (key, known) -> known.used(turnNanos));
-        coldPeriods.computeIfPresent(upstream, (key, known) -> known.used(turnNanos));
+        ColdPeriod cold = coldPeriods.computeIfPresent(upstream, (key, known) -> known.used(turnNanos));
+        if (cold != null) {
+            coldStarts.begin(upstream, nowNanos);
+        }
         return OptionalLong.of(turns.get().schedule().lapseNanos(turnNanos));
     }
 
--- a/galenahinge/src/test/java/org/galenahinge/gateway/ColdUpstreamsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/ColdUpstreamsTest.java
@@ -66,6 +66,18 @@
         assertThat(isCold(born)).isFalse();
     }
 
+    /** Guards against turns at a cold upstream that are lost because any record is read again. */
+    @Test
+    void keepsATurnWhenRecordsAreReadAgain() {
+        Upstream upstream = record(100, 1, 10_000);
+        read(upstream);
+        while (!upstreamLimits.allows(upstream, timers.nanoTime())) {
+            advance(1);
+        }
+        read(upstream);
+        assertThat(upstreamLimits.allows(upstream, timers.nanoTime())).isTrue();
+    }
+
     @Test
     void forgetsAnUpstreamThatIsGone() {
         read(record(100, 1, 10_000));
