A crash long after a caller read slowly counts as a crash

A pause of a second anywhere in a response made every later loss of its connection count as caused by the caller: the stream was not continued, and the upstream's crash was not recorded. Found by reading. Only a loss during such a pause, or within a second after it, does now.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -230,7 +230,7 @@
     @Override
     public void onFailure(String detail) {
         connection = Optional.empty();
-        if (paused.mayExplainALoss()) {
+        if (paused.mayHaveCausedClose()) {
             endForSlowCaller();
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/PausedReading.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/PausedReading.java
@@ -2,17 +2,21 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.galenahinge.concurrent.Timers;
 
 /** When a response is not read from its upstream, because its caller does not read. */
 final class PausedReading {
-    /** An upstream closes a response that stays unread for some seconds. */
+    /** Shorter than the time after which upstreams close an unread response, so that such a close is taken for no crash. */
     private static final Duration TIME_BEFORE_CLOSE = Duration.ofSeconds(1);
 
+    /** What the upstream sent before it closed the connection is read first, once the caller reads again. */
+    private static final Duration TIME_TO_NOTICE_CLOSE = Duration.ofSeconds(1);
+
     private final Timers timers;
     private long begunNanos;
     private boolean paused;
-    private boolean wasLong;
+    private OptionalLong longPauseEndNanos = OptionalLong.empty();
 
     PausedReading(Timers timers) {
         this.timers = Objects.requireNonNull(timers, "timers");
@@ -29,7 +33,9 @@
     /** Records that the response is read again; returns whether it was not before. */
     boolean end() {
         boolean wasPaused = paused;
-        wasLong |= isLong();
+        if (isLong()) {
+            longPauseEndNanos = OptionalLong.of(timers.nanoTime());
+        }
         paused = false;
         return wasPaused;
     }
@@ -39,8 +45,13 @@
     }
 
     /** Whether the upstream may have closed the connection because the response was not read for long. */
-    boolean mayExplainALoss() {
-        return wasLong || isLong();
+    boolean mayHaveCausedClose() {
+        return isLong() || endedLately();
+    }
+
+    private boolean endedLately() {
+        return longPauseEndNanos.isPresent()
+                && timers.nanoTime() - longPauseEndNanos.getAsLong() < TIME_TO_NOTICE_CLOSE.toNanos();
     }
 
     private boolean isLong() {
