Read-through: bounded lists of entries, one rejection for a removed upstream, Javadoc of budget and attribution

A placed request whose upstream was just removed ends as unknown if it may have run before; its rejection as not run threw an exception. A list of entries from another one is evidence only for known members, and only if its first line says that it is settled.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/BufferBudget.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/BufferBudget.java
@@ -12,8 +12,8 @@
 
 /**
  * The budget of an entry for bytes that the peers of its connections have not read: responses at callers and requests at
- * upstreams. Above a share of it, connections that hold unread bytes take no more; above all of it, those with the most
- * are closed. Not thread-safe.
+ * upstreams. Above half of it, connections that hold unread bytes take no more. Above 7/8 of it, those with the most are
+ * closed until at most 3/4 is left. Not thread-safe.
  */
 final class BufferBudget {
     /** The heap is the limit of buffers outside of it, too. A buffer may take several times the bytes that it holds. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -172,7 +172,7 @@
             rejectOutsideRegions();
             return;
         }
-        rejectUnavailable("all upstreams of the service leave");
+        rejectUnavailable("all upstreams that may serve the request are leaving");
     }
 
     /** Rejects a queued request if all upstreams that could serve it have been evacuated. */
@@ -395,10 +395,7 @@
         String id = candidate.upstream().id();
         Optional<UpstreamPool> pool = gateway.pool(id);
         if (pool.isEmpty()) {
-            reject(Rejection.notRun(
-                    "no_upstream",
-                    "the upstream was just removed",
-                    RetryAfterPolicy.whenFull(gateway.randomFraction())));
+            rejectUnavailable("the upstream was just removed");
             return;
         }
         triedUpstreams.add(id);
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.http.CompleteResponse;
@@ -194,8 +195,10 @@
     private void listReceived(List<String> list, long askedNanos) {
         observe();
         addDiscovered(list);
-        if (list.contains(SETTLED_LINE)) {
-            confirmed.listed(list, askedNanos);
+        boolean isSettled = !list.isEmpty() && list.get(0).equals(SETTLED_LINE);
+        if (isSettled) {
+            Set<String> up = roster.up().stream().map(NodeAddress::text).collect(Collectors.toSet());
+            confirmed.listed(list.stream().filter(up::contains).toList(), askedNanos);
         }
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashAttribution.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashAttribution.java
@@ -11,8 +11,8 @@
 import org.galenahinge.quarantine.RequestTrait.Kind;
 
 /**
- * Finds the fewest causes that explain the crashes of upstreams: requests that were sent again and again, and parts of
- * prompts. The one that explains most crashes is found first; the crashes that it explains speak against no other, which was
+ * Finds few causes that explain the crashes of upstreams: requests that were sent again and again, and parts of
+ * prompts. The search is greedy: the one that explains most crashes is found first; the crashes that it explains speak against no other, which was
  * only there at the same time.
  *
  * <p>A request that explains hardly fewer crashes than any part is the cause rather than the part, which other requests
@@ -65,7 +65,10 @@
         }
     }
 
-    /** Returns what explains most of some crashes; empty if nothing explains enough, or more than one thing does. */
+    /**
+     * Returns the causes that explain most of some crashes; empty if none explains {@link #MINIMUM_CRASHES}, or if parts
+     * that overlap tie below {@link #CERTAIN_CRASHES}.
+     */
     private static List<Cause> nextCauses(List<Set<RequestTrait>> unexplained) {
         Map<RequestTrait, Set<Integer>> requests = crashesByTrait(unexplained, Kind.WHOLE_REQUEST);
         Map<RequestTrait, Set<Integer>> parts = crashesByTrait(unexplained, Kind.PROMPT_PART);
