--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -632,7 +632,7 @@
         done = true;
         stopChecks();
         buffered.release();
-        request.endForSlowCaller();
+        request.endForSlowCaller(this);
         request.gateway().serveWaitingAt(upstreamId());
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/BufferBudget.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/BufferBudget.java
@@ -17,7 +17,7 @@
  */
 final class BufferBudget {
     /** The heap is the limit of buffers outside of it, too. A buffer may take several times the bytes that it holds. */
-    private static final int HEAP_SHARES = 4;
+    private static final int HEAP_DIVISOR = 4;
 
     private static final double BACKPRESSURE_SHARE = 0.5;
 
@@ -46,7 +46,7 @@
         long unreadBytes();
 
         /** Closes the connection, because it holds more unread bytes than others while the budget is exceeded. */
-        void giveWay();
+        void closeForBudget();
 
         /** Goes on where the connection held back because of this budget, as far as it may. */
         void resume();
@@ -64,7 +64,7 @@
      * @param timers the clock
      */
     static BufferBudget ofHeap(long maximumHeapBytes, Timers timers) {
-        return new BufferBudget(maximumHeapBytes / HEAP_SHARES, Objects.requireNonNull(timers, "timers"));
+        return new BufferBudget(maximumHeapBytes / HEAP_DIVISOR, Objects.requireNonNull(timers, "timers"));
     }
 
     /** Adds a connection. */
@@ -134,7 +134,7 @@
             }
             left -= entry.getValue();
             if (holders.contains(entry.getKey())) {
-                entry.getKey().giveWay();
+                entry.getKey().closeForBudget();
             }
         }
         return left;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -117,7 +117,7 @@
 
     /** A request whose response cannot be delivered ends as one whose caller has disconnected. */
     @Override
-    public void giveWay() {
+    public void closeForBudget() {
         gateway.log()
                 .event(Category.FAILURE, "caller_too_slow")
                 .with(
--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -250,12 +250,16 @@
     }
 
     /** Ends a request that has run, and whose caller read the response too slowly for its upstream. */
-    void endForSlowCaller() {
-        if (!ended) {
-            currentAttempt = Optional.empty();
-            mayHaveRun = true;
-            reject(outcomeUnknown("the caller read too slowly, and the upstream closed the response"));
+    void endForSlowCaller(Attempt done) {
+        if (ended) {
+            return;
         }
+        currentAttempt = Optional.empty();
+        mayHaveRun = true;
+        String detail = "the caller read too slowly, and the upstream closed the response";
+        long budgetLeft = (long) queue.retryBudget().remaining(gateway.nodes());
+        requestLog.attemptFailed(done, Outcome.UNKNOWN, detail, Next.SAY_UNKNOWN, attempts, budgetLeft);
+        reject(outcomeUnknown(detail));
     }
 
     /** Whether the current attempt may be abandoned for a retry at another upstream that is available now. */
@@ -379,7 +383,7 @@
                         .offer(
                                 this,
                                 admitted.priority(),
-                                deadlines.waitingSinceNanos(),
+                                deadlines.queueOrderNanos(),
                                 deadlines.onTimeNanos(),
                                 waitEndNanos);
         if (!queued) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/PromptSizePolicies.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/PromptSizePolicies.java
@@ -66,7 +66,7 @@
         services.removeIf(service -> next.contains(service) == byService.containsKey(service));
         services.forEach(service -> log.event(EventLog.Category.BELIEF, "prompt_sizes")
                 .with("service", service)
-                .with("regarded", String.valueOf(next.contains(service)))
+                .with("enabled", String.valueOf(next.contains(service)))
                 .write());
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestDeadlines.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestDeadlines.java
@@ -13,11 +13,11 @@
  * @param onTimeNanos when the response must start to meet the route's target latency, which counts from the caller's
  *     first attempt
  * @param deadlineNanos when the response must be complete
- * @param timeToFirstEvent how long before its target the request stops waiting for a slot
- * @param waitingSinceNanos when it counts as having arrived among the requests that wait for a slot
+ * @param slotWaitMargin how long before its target the request stops waiting for a slot
+ * @param queueOrderNanos its place among the requests of equal priority that wait for a slot, the lowest first
  */
 record RequestDeadlines(
-        long arrivedNanos, long onTimeNanos, long deadlineNanos, Duration timeToFirstEvent, long waitingSinceNanos) {
+        long arrivedNanos, long onTimeNanos, long deadlineNanos, Duration slotWaitMargin, long queueOrderNanos) {
     private static final Duration MINIMUM_QUEUE_WAIT = Duration.ofMillis(60);
     private static final Duration TIME_TO_FIRST_EVENT = Duration.ofMillis(220);
     private static final double LOADING_WAIT_SHARE = 0.3;
@@ -49,21 +49,21 @@
         if (prompt.isEmpty()) {
             return new RequestDeadlines(arrived, onTime, deadline, TIME_TO_FIRST_EVENT, arrived);
         }
-        Duration timeToFirstEvent = promptSizes.timeToFirstEvent(prompt.get(), TIME_TO_FIRST_EVENT);
-        long waitEnd = slotWaitEndNanos(arrived, onTime, deadline, timeToFirstEvent);
-        long waitingSince = promptSizes.waitingSinceNanos(arrived, waitEnd);
-        return new RequestDeadlines(arrived, onTime, deadline, timeToFirstEvent, waitingSince);
+        Duration slotWaitMargin = promptSizes.slotWaitMargin(prompt.get(), TIME_TO_FIRST_EVENT);
+        long waitEnd = slotWaitEndNanos(arrived, onTime, deadline, slotWaitMargin);
+        long queueOrder = promptSizes.queueOrderNanos(arrived, waitEnd);
+        return new RequestDeadlines(arrived, onTime, deadline, slotWaitMargin, queueOrder);
     }
 
     /** Returns when to stop waiting for a free slot, in nanoseconds: when the response can no longer start on time. */
     long slotWaitEndNanos() {
-        return slotWaitEndNanos(arrivedNanos, onTimeNanos, deadlineNanos, timeToFirstEvent);
+        return slotWaitEndNanos(arrivedNanos, onTimeNanos, deadlineNanos, slotWaitMargin);
     }
 
     private static long slotWaitEndNanos(
-            long arrivedNanos, long onTimeNanos, long deadlineNanos, Duration timeToFirstEvent) {
+            long arrivedNanos, long onTimeNanos, long deadlineNanos, Duration slotWaitMargin) {
         long onTimeWaitEnd =
-                Math.max(arrivedNanos + MINIMUM_QUEUE_WAIT.toNanos(), onTimeNanos - timeToFirstEvent.toNanos());
+                Math.max(arrivedNanos + MINIMUM_QUEUE_WAIT.toNanos(), onTimeNanos - slotWaitMargin.toNanos());
         return Math.min(deadlineNanos, onTimeWaitEnd);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/UnreadRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UnreadRequest.java
@@ -25,7 +25,7 @@
     }
 
     @Override
-    public void giveWay() {
+    public void closeForBudget() {
         abort.run();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/placement/MixedPromptSizes.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/MixedPromptSizes.java
@@ -66,14 +66,14 @@
     }
 
     @Override
-    public Duration timeToFirstEvent(PromptShape prompt, Duration usual) {
+    public Duration slotWaitMargin(PromptShape prompt, Duration usual) {
         long prefillMillis = (long) model.prefillMillis(prompt.promptTokens());
         Duration needed = TIME_BESIDES_PREFILL.plusMillis(prefillMillis);
         return needed.compareTo(usual) < 0 ? needed : usual;
     }
 
     @Override
-    public long waitingSinceNanos(long arrivedNanos, long waitEndNanos) {
+    public long queueOrderNanos(long arrivedNanos, long waitEndNanos) {
         return arrivedNanos + Math.max(0, Math.min(waitEndNanos - arrivedNanos, MAXIMUM_OVERTAKING.toNanos()));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/placement/PromptSizePolicy.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/PromptSizePolicy.java
@@ -26,18 +26,18 @@
      * @param usual the time that is kept for requests of all sizes without a policy
      * @return the time from placement to the first event
      */
-    default Duration timeToFirstEvent(PromptShape prompt, Duration usual) {
+    default Duration slotWaitMargin(PromptShape prompt, Duration usual) {
         return usual;
     }
 
     /**
-     * Returns when a request counts as having arrived among those of equal priority that wait for a slot.
+     * Returns the place of a request among those of equal priority that wait for a slot: the lowest goes first.
      *
      * @param arrivedNanos when it arrived, in nanoseconds
      * @param waitEndNanos when it stops waiting, in nanoseconds
-     * @return nanoseconds
+     * @return nanoseconds; it may lie after the arrival
      */
-    default long waitingSinceNanos(long arrivedNanos, long waitEndNanos) {
+    default long queueOrderNanos(long arrivedNanos, long waitEndNanos) {
         return arrivedNanos;
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/gateway/BufferBudgetTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/BufferBudgetTest.java
@@ -41,7 +41,7 @@
         }
 
         @Override
-        public void giveWay() {
+        public void closeForBudget() {
             unread = 0;
             closed.add(this);
             budget.remove(this);
--- a/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
@@ -88,7 +88,7 @@
     @CsvSource({"6000, 1", "6000, 3880", "5800, 949", "20, 949"})
     void isUnchangedWithoutAPolicyOrAPrompt(long remainingMillis, int promptTokens) {
         RequestDeadlines plain = RequestDeadlines.of(request(remainingMillis), ROUTE);
-        assertThat(plain.waitingSinceNanos()).isEqualTo(ARRIVED);
+        assertThat(plain.queueOrderNanos()).isEqualTo(ARRIVED);
         assertThat(RequestDeadlines.of(request(remainingMillis, promptTokens), ROUTE))
                 .isEqualTo(plain);
         assertThat(RequestDeadlines.of(request(remainingMillis), ROUTE, PROMPT_SIZES))
@@ -106,7 +106,7 @@
             long remainingMillis, int promptTokens, long waitMillis, long orderMillis) {
         RequestDeadlines deadlines = RequestDeadlines.of(request(remainingMillis, promptTokens), ROUTE, PROMPT_SIZES);
         assertThat(millis(deadlines.slotWaitEndNanos())).isEqualTo(waitMillis);
-        assertThat(millis(deadlines.waitingSinceNanos())).isEqualTo(orderMillis);
+        assertThat(millis(deadlines.queueOrderNanos())).isEqualTo(orderMillis);
     }
 
     private static long millis(long nanos) {
--- a/galenahinge/src/test/java/org/galenahinge/node/PromptMixModel.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/PromptMixModel.java
@@ -251,14 +251,14 @@
             long end = Math.max(
                     request.arrivedNanos + MINIMUM_WAIT.toNanos(),
                     request.onTimeNanos
-                            - policy.timeToFirstEvent(request.shape, TIME_TO_FIRST_EVENT)
+                            - policy.slotWaitMargin(request.shape, TIME_TO_FIRST_EVENT)
                                     .toNanos());
             long now = timers.nanoTime();
             int ahead = queue.sizeAhead(request.onTimeNanos, now);
             if (!rate.canPlaceInTime(ahead, Duration.ofNanos(Math.max(0, end - now)), now)) {
                 return;
             }
-            queue.offer(request, 0, policy.waitingSinceNanos(request.arrivedNanos, end), request.onTimeNanos, end);
+            queue.offer(request, 0, policy.queueOrderNanos(request.arrivedNanos, end), request.onTimeNanos, end);
         }
 
         void scan() {
--- a/galenahinge/src/test/java/org/galenahinge/placement/MixedPromptSizesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/MixedPromptSizesTest.java
@@ -32,8 +32,8 @@
         PromptSizePolicy policy = MixedPromptSizes.select(engine, routes);
         assertThat(policy).isSameAs(PromptSizePolicy.NONE);
         assertThat(policy.penaltyMillis(load(6, 2), NOW)).isZero();
-        assertThat(policy.timeToFirstEvent(prompt(1), USUAL_TIME)).isEqualTo(USUAL_TIME);
-        assertThat(policy.waitingSinceNanos(NOW, NOW + USUAL_TIME.toNanos())).isEqualTo(NOW);
+        assertThat(policy.slotWaitMargin(prompt(1), USUAL_TIME)).isEqualTo(USUAL_TIME);
+        assertThat(policy.queueOrderNanos(NOW, NOW + USUAL_TIME.toNanos())).isEqualTo(NOW);
     }
 
     static Stream<Arguments> configurationsWithoutMixedSizes() {
@@ -52,7 +52,7 @@
     @ParameterizedTest
     @CsvSource({"1, 100", "949, 130", "1290, 141", "3880, 220", "100000, 220"})
     void keepsTheTimeToReadThePrompt(int promptTokens, long expectedMillis) {
-        assertThat(POLICY.timeToFirstEvent(prompt(promptTokens), USUAL_TIME))
+        assertThat(POLICY.slotWaitMargin(prompt(promptTokens), USUAL_TIME))
                 .isEqualTo(Duration.ofMillis(expectedMillis));
     }
 
@@ -61,7 +61,7 @@
     @CsvSource({"60, 60", "302, 302", "702, 350", "10000, 350", "-5, 0"})
     void boundsOvertaking(long waitMillis, long expectedMillis) {
         long waitEnd = NOW + Duration.ofMillis(waitMillis).toNanos();
-        assertThat(POLICY.waitingSinceNanos(NOW, waitEnd))
+        assertThat(POLICY.queueOrderNanos(NOW, waitEnd))
                 .isEqualTo(NOW + Duration.ofMillis(expectedMillis).toNanos());
     }
 
