A turn of a named limit is none at an upstream that has become cold

A request that was placed under a limit that its upstream had named was sent without a turn at the cold upstream, if the upstream became cold before the connection was open: turns of both limits were told apart by nothing. Found by reading; ColdUpstreamsTest.needsATurnAtAColdUpstreamBesideOneOfANamedLimit failed before. A placement reports a turn only at cold upstreams.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/UpstreamLimits.java
@@ -40,12 +40,15 @@
     /**
      * Records that a request is placed at an upstream, which uses a turn.
      *
-     * @return when that turn lapses, in nanoseconds; empty if there is no limit
+     * @return when its turn at a cold upstream lapses, in nanoseconds; empty if the upstream is not cold
      */
     OptionalLong recordPlaced(Upstream upstream) {
-        return limits.isEmpty()
-                ? OptionalLong.empty()
-                : limits.recordSent(upstream.incarnationKey(), timers.nanoTime());
+        if (limits.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long now = timers.nanoTime();
+        OptionalLong lapseNanos = limits.recordSent(upstream.incarnationKey(), now);
+        return limits.isCold(upstream.incarnationKey(), now) ? lapseNanos : OptionalLong.empty();
     }
 
     /**
--- a/galenahinge/src/test/java/org/galenahinge/gateway/ColdUpstreamsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/ColdUpstreamsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.assertj.core.data.Offset;
 import org.galenahinge.catalog.CallerLimits;
@@ -78,6 +79,18 @@
         assertThat(upstreamLimits.allows(upstream, timers.nanoTime())).isTrue();
     }
 
+    /** Guards against a turn of a limit that an upstream named being used after the upstream has become cold. */
+    @Test
+    void needsATurnAtAColdUpstreamBesideOneOfANamedLimit() {
+        Upstream upstream = record(100, 1, 0);
+        read(upstream);
+        limits.recordResponse(upstream.incarnationKey(), OptionalDouble.of(100), timers.nanoTime());
+        advance(500);
+        OptionalLong placed = upstreamLimits.recordPlaced(upstream);
+        read(record(100, 2, 10_000));
+        assertThat(upstreamLimits.maySend(upstream, placed)).isFalse();
+    }
+
     @Test
     void forgetsAnUpstreamThatIsGone() {
         read(record(100, 1, 10_000));
