--- a/galenahinge/src/main/java/org/galenahinge/catalog/ColdStart.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/ColdStart.java
@@ -10,6 +10,9 @@
  * @param requestsPerSecond the requests a second that a cold upstream tolerates from all clients together
  */
 public record ColdStart(Duration duration, double requestsPerSecond) {
+    /** No upstream is cold for longer at a time. */
+    public static final Duration MAXIMUM_DURATION = Duration.ofDays(1);
+
     /** Rejects values that are not positive. */
     public ColdStart {
         Objects.requireNonNull(duration, "duration");
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerDelivery.java
@@ -3,9 +3,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import java.util.Objects;
+import org.galenahinge.http.OutboundBytes;
 
 /**
  * What is on its way to the caller of a connection: its responses, and after them the end of the connection. Used by the
@@ -42,8 +42,7 @@
 
     /** Returns how many bytes were written and not given to the network, because the caller does not read. */
     long unreadBytes() {
-        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
-        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+        return OutboundBytes.pending(context.channel());
     }
 
     /** Whether the rest of a response may be read from its upstream. */
--- a/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/HttpConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -277,8 +276,7 @@
      * @return the bytes that were not given to the network
      */
     public long unwrittenBytes() {
-        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
-        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+        return OutboundBytes.pending(channel);
     }
 
     void handle(HttpObject message) {
--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.galenahinge.catalog.ColdStart;
 import org.galenahinge.limit.TurnStarts.AgedStart;
 
 /**
@@ -32,8 +33,8 @@
     /** Limits that nobody has heard of for so long are dropped, those of upstreams that are gone among them. */
     private static final Duration RETENTION = Duration.ofMinutes(5);
 
-    /** Longer than any upstream is cold. */
-    private static final Duration MAXIMUM_COLD_TIME = Duration.ofDays(2);
+    /** A default start of turns lies before the cold time in which they are used. */
+    private static final Duration START_BEFORE_END = ColdStart.MAXIMUM_DURATION.multipliedBy(2);
 
     private final Supplier<Position> position;
     private final Supplier<Optional<Position>> coldPosition;
@@ -145,7 +146,7 @@
 
         /** Returns a start of the turns that does not change during the period, in nanoseconds. */
         private long startNanos() {
-            return endNanos - MAXIMUM_COLD_TIME.toNanos();
+            return endNanos - START_BEFORE_END.toNanos();
         }
 
         private ColdPeriod used(long turnNanos) {
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryMembership.java
@@ -145,11 +145,11 @@
         if (joined && NodeAddress.parse(sender).isPresent()) {
             addDiscovered(List.of(sender));
         }
-        List<NodeAddress> named = confirmedUp();
+        observe();
         if (!joined || !confirmed.isSettled()) {
             return lines(roster.up());
         }
-        return SETTLED_LINE + "\n" + lines(named);
+        return SETTLED_LINE + "\n" + lines(confirmedUp());
     }
 
     /** Returns the entries that may be named to callers: this one, unless it has left, and those that are confirmed. */
@@ -184,12 +184,18 @@
             return;
         }
         observe();
+        if (!confirmed.isSettled()) {
+            requestMembersOfAnyOther();
+        }
+        timers.schedule(CONFIRMATION_INTERVAL, this::confirm);
+    }
+
+    private void requestMembersOfAnyOther() {
         List<NodeAddress> others =
                 roster.up().stream().filter(entry -> !entry.equals(self)).toList();
-        if (!confirmed.isSettled() && !others.isEmpty()) {
+        if (!others.isEmpty()) {
             requestMembers(others.get(random.nextInt(others.size())).nodes());
         }
-        timers.schedule(CONFIRMATION_INTERVAL, this::confirm);
     }
 
     private void listReceived(List<String> list, long askedNanos) {
--- a/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
+++ b/galenahinge/src/main/java/org/galenahinge/placement/AdmissionQueue.java
@@ -108,15 +108,6 @@
         return expired;
     }
 
-    /**
-     * Removes all items.
-     *
-     * @return the removed items, those that would have expired first at the front
-     */
-    public List<T> removeAll() {
-        return removeIf(item -> true);
-    }
-
     /**
      * Removes the items that meet a condition.
      *
--- a/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/AdmissionQueueTest.java
@@ -57,7 +57,7 @@
         queue.offer("later", 0, 10, 20, 200);
         queue.offer("sooner", 1, 10, 90, 100);
         queue.dispatch(30, item -> false);
-        assertThat(queue.removeAll()).containsExactly("sooner", "later");
+        assertThat(queue.removeIf(item -> true)).containsExactly("sooner", "later");
         assertThat(queue.size()).isZero();
         assertThat(queue.removeExpired(300)).isEmpty();
         queue.dispatch(30, item -> {
