Review case 8: a shared prompt part is quarantined for an hour after all servers crashed at once

Cause: CrashAttribution blames the part that all requests in flight shared; without a server nothing clears it, and at five crashes no trial is made.

--- a/review/stand-ins-2/review/CaseMain.java
+++ b/review/stand-ins-2/review/CaseMain.java
@@ -40,6 +40,8 @@
     private static Case named(String name) {
         return switch (name) {
             case "6" -> new RaisedHeaderLimit();
+            case "7" -> new CrashingRequestAfterKill();
+            case "8" -> new SharedPromptAfterCrash();
             default -> throw new IllegalArgumentException("there is no case " + name);
         };
     }
--- a/review/stand-ins-2/review/RaisedHeaderLimit.java
+++ b/review/stand-ins-2/review/RaisedHeaderLimit.java
@@ -46,9 +46,9 @@
 
     private static void startServers(Deployment deployment, CaseRecord record) throws IOException {
         for (int number = 1; number <= 3; number++) {
-            ServerStandIn server = new ServerStandIn("server-" + number, SERVICE, (self, request) -> {
+            ServerStandIn server = new ServerStandIn("server-" + number, SERVICE, (self, request, answer) -> {
                 record.write(self.id() + " runs " + request.header("Attempt-Id"));
-                return "done " + request.header("Attempt-Id");
+                answer.succeed("done " + request.header("Attempt-Id"));
             });
             server.start();
             deployment.store().put("servers/" + server.id(), server.entry());
--- a/review/stand-ins-2/review/ServerStandIn.java
+++ b/review/stand-ins-2/review/ServerStandIn.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A server of a service, which runs each request at once and answers it with success, unless a handler does otherwise. */
+/** A server of a service; a handler says what it does with each request that it takes. */
 final class ServerStandIn implements AutoCloseable {
     private final String id;
     private final String service;
@@ -24,8 +24,7 @@
 
     /** What a server does with a request that it takes. */
     interface Handler {
-        /** Handles a request; returns the body of a success, or null if the server has ended. */
-        String run(ServerStandIn server, HttpMessage request) throws Exception;
+        void run(ServerStandIn server, HttpMessage request, ServerAnswer answer) throws Exception;
     }
 
     ServerStandIn(String id, String service, Handler handler) {
@@ -105,15 +104,7 @@
                             + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return;
         }
-        String body = handler.run(this, request);
-        if (body == null) {
-            throw new IOException("the server has ended");
-        }
-        int length = body.getBytes(StandardCharsets.UTF_8).length;
-        write(
-                output,
-                "HTTP/1.1 200 OK\r\nAttempt-Id: " + requestId + "\r\nServer-Seal: seal-" + id + "-" + requestId
-                        + "\r\nContent-Type: text/plain\r\nContent-Length: " + length + "\r\n\r\n" + body);
+        handler.run(this, request, new ServerAnswer(id, requestId, output));
     }
 
     private static void write(OutputStream output, String text) throws IOException {
