--- a/review/stand-ins-2/review/ServerStandIn.java
+++ b/review/stand-ins-2/review/ServerStandIn.java
@@ -44,10 +44,10 @@
         startThread(() -> accept(current));
     }
 
-    /** Ends the lifetime as a crash does: all channels are closed and no other is taken. */
+    /** Ends the lifetime as a crash does: all channels are reset and no other is taken. */
     synchronized void crash() {
         closeQuietly(socket);
-        channels.forEach(ServerStandIn::closeQuietly);
+        channels.forEach(ServerStandIn::reset);
     }
 
     String id() {
@@ -118,6 +118,16 @@
         thread.start();
     }
 
+    private static void reset(Socket channel) {
+        try {
+            channel.setSoLinger(true, 0);
+        } catch (IOException e) {
+            // The channel is closed already.
+            return;
+        }
+        closeQuietly(channel);
+    }
+
     private static void closeQuietly(AutoCloseable closed) {
         try {
             closed.close();
--- a/review/stand-ins-2/review/SharedPromptAfterCrash.java
+++ b/review/stand-ins-2/review/SharedPromptAfterCrash.java
@@ -17,13 +17,13 @@
     private static final int ENTRIES = 3;
     private static final int MODEL_SERVERS = 8;
     private static final int ORDER_SERVERS = 3;
-    private static final int DRAFTS_PER_SECOND = 60;
+    private static final int DRAFTS_PER_SECOND = 40;
     private static final int ORDERS_PER_SECOND = 10;
     private static final long BEFORE_MILLIS = 8_000;
     private static final long DOWN_MILLIS = 4_500;
     private static final long RECOVERY_MILLIS = 12_000;
     private static final long JUDGED_MILLIS = 30_000;
-    private static final int FIRST_EVENT_MILLIS = 400;
+    private static final int FIRST_EVENT_MILLIS = 450;
     private static final int EVENTS = 5;
     private static final int EVENT_MILLIS = 100;
     private static final int DEADLINE_MILLIS = 6_000;
@@ -132,7 +132,7 @@
 
     private static void crashAll(List<ServerStandIn> servers, Deployment deployment, CaseRecord record)
             throws Exception {
-        servers.forEach(ServerStandIn::crash);
+        servers.parallelStream().forEach(ServerStandIn::crash);
         record.show("all " + servers.size() + " model servers crashed");
         TimeUnit.MILLISECONDS.sleep(DOWN_MILLIS);
         for (ServerStandIn server : servers) {
