--- a/review/stand-ins-2/review/CaseMain.java
+++ b/review/stand-ins-2/review/CaseMain.java
@@ -42,6 +42,7 @@
             case "6" -> new RaisedHeaderLimit();
             case "7" -> new CrashingRequestAfterKill();
             case "8" -> new SharedPromptAfterCrash();
+            case "9" -> new ZeroServerLimit();
             default -> throw new IllegalArgumentException("there is no case " + name);
         };
     }
--- a/review/stand-ins-2/review/ServerAnswer.java
+++ b/review/stand-ins-2/review/ServerAnswer.java
@@ -7,7 +7,7 @@
 /** Writes a server's answer to one request. */
 final class ServerAnswer {
     private final OutputStream output;
-    private final String head;
+    private String head;
 
     ServerAnswer(String serverId, String requestId, OutputStream output) {
         this.output = output;
@@ -15,6 +15,11 @@
                 + "\r\n";
     }
 
+    /** Adds a header to the answer, which has not begun. */
+    void addHeader(String line) {
+        head += line + "\r\n";
+    }
+
     /** Answers with success and a whole body. */
     void succeed(String body) throws IOException {
         int length = body.getBytes(StandardCharsets.UTF_8).length;
