Review case 10: a part that crashes servers after their first event is never quarantined

Cause: the first event clears the parts of the prompt in all ledgers, and a loss after it blames the whole request only.

--- a/review/stand-ins-2/review/CaseMain.java
+++ b/review/stand-ins-2/review/CaseMain.java
@@ -43,6 +43,7 @@
             case "7" -> new CrashingRequestAfterKill();
             case "8" -> new SharedPromptAfterCrash();
             case "9" -> new ZeroServerLimit();
+            case "10" -> new CrashAfterFirstEvent();
             default -> throw new IllegalArgumentException("there is no case " + name);
         };
     }
