Review cases: number the gravest first

6 shared prompt part, 7 crash after the first event, 8 raised max_header_bytes, 9 crashing request after a kill of all entries, 10 Server-Limit 0 (before: 8, 10, 6, 7, 9).

--- a/review/stand-ins-2/review/CaseMain.java
+++ b/review/stand-ins-2/review/CaseMain.java
@@ -39,11 +39,11 @@
 
     private static Case named(String name) {
         return switch (name) {
-            case "6" -> new RaisedHeaderLimit();
-            case "7" -> new CrashingRequestAfterKill();
-            case "8" -> new SharedPromptAfterCrash();
-            case "9" -> new ZeroServerLimit();
-            case "10" -> new CrashAfterFirstEvent();
+            case "6" -> new SharedPromptAfterCrash();
+            case "7" -> new CrashAfterFirstEvent();
+            case "8" -> new RaisedHeaderLimit();
+            case "9" -> new CrashingRequestAfterKill();
+            case "10" -> new ZeroServerLimit();
             default -> throw new IllegalArgumentException("there is no case " + name);
         };
     }
