--- a/review/stand-ins-2/review/CaseMain.java
+++ b/review/stand-ins-2/review/CaseMain.java
@@ -40,10 +40,10 @@
     private static Case named(String name) {
         return switch (name) {
             case "6" -> new SharedPromptAfterCrash();
-            case "7" -> new CrashAfterFirstEvent();
-            case "8" -> new RaisedHeaderLimit();
-            case "9" -> new CrashingRequestAfterKill();
-            case "10" -> new ZeroServerLimit();
+            case "7" -> new RaisedHeaderLimit();
+            case "8" -> new CrashingRequestAfterKill();
+            case "9" -> new ZeroServerLimit();
+            case "10" -> new CrashAfterFirstEvent();
             default -> throw new IllegalArgumentException("there is no case " + name);
         };
     }
