Entries read facts through classes of their own: roles, and what is sent between entries

EntryNode held the roles of the entries that share facts, and FactRelay and PeerFactClient each one half of what they send. FactPeers and FactReadingCodec hold them now, so that a model can run them without a network. No change of behaviour.

--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -20,7 +20,6 @@
 import org.galenahinge.facts.FactCursor;
 import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FactLog;
-import org.galenahinge.facts.FactSource;
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.facts.FleetFacts;
 import org.galenahinge.facts.StorePosition;
@@ -95,7 +94,7 @@
         this.facts = FleetFacts.create(platform.decoder(), timers, log);
         FactLog items = FactLog.create(seed);
         this.synchronizer = FactSynchronizer.create(
-                platform.store(threads), new EntryPeers(), items, this::itemsChanged, timers, log, seed);
+                platform.store(threads), factPeers(), items, this::itemsChanged, timers, log, seed);
         this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
         GatewaySettings gatewaySettings = new GatewaySettings(
                 settings.zone(),
@@ -145,6 +144,15 @@
         synchronizer.onRefresh(relay::onRefresh);
     }
 
+    private FactPeers factPeers() {
+        return new FactPeers(
+                self,
+                () -> settings,
+                roster,
+                () -> ready,
+                peer -> new PeerFactClient(threads, peer.address(), peer.remote(), membership::addDiscovered));
+    }
+
     /**
      * Starts an entry.
      *
@@ -420,22 +428,4 @@
         StorePosition position = new StorePosition(NodeQuery.number(query, "epoch"), NodeQuery.number(query, "after"));
         return new FactCursor(position, NodeQuery.number(query, "log"), NodeQuery.number(query, "sequence"));
     }
-
-    private final class EntryPeers implements FactSynchronizer.Peers {
-        @Override
-        public boolean isWatcher() {
-            return ready && roster.watcher().filter(entry -> entry.equals(self)).isPresent();
-        }
-
-        @Override
-        public boolean isRelay() {
-            return ready && roster.isFactSource(self.name());
-        }
-
-        @Override
-        public Optional<FactSource> peer(int failures) {
-            return PeerSelector.select(settings, roster, failures)
-                    .map(peer -> new PeerFactClient(threads, peer.address(), peer.remote(), membership::addDiscovered));
-        }
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -11,7 +11,6 @@
 import org.galenahinge.facts.FactLog;
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.http.HttpDocument;
-import org.galenahinge.wire.generated.FactReading;
 
 /** Serves facts to other nodes, which request the changes that they do not know. Not thread-safe. */
 final class FactRelay {
@@ -92,16 +91,7 @@
 
     private void respond(ReadRequest request, Consumer<HttpDocument> reply) {
         FactLog.Changes changes = facts.changesAfter(request.after());
-        FactReading.Builder reading = FactReading.newBuilder()
-                .setRevision(changes.cursor().position().revision())
-                .setEpoch(changes.cursor().position().epoch())
-                .setLog(changes.cursor().logId())
-                .setSequence(changes.cursor().sequence())
-                .setWhole(changes.snapshot())
-                .setAgeMillis(synchronizer.age().toMillis())
-                .addAllNodes(nodes.get());
-        changes.items().forEach(item -> reading.addItems(FactItemCodec.encode(item)));
-        byte[] bytes = reading.build().toByteArray();
-        reply.accept(HttpDocument.bytes(200, request.compressed() ? Compression.compress(bytes) : bytes));
+        byte[] bytes = FactReadingCodec.encode(changes, synchronizer.age(), nodes.get(), request.compressed());
+        reply.accept(HttpDocument.bytes(200, bytes));
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
@@ -8,16 +8,13 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.galenahinge.facts.FactCursor;
-import org.galenahinge.facts.FactItem;
 import org.galenahinge.facts.FactReadException;
 import org.galenahinge.facts.FactReadException.Cause;
 import org.galenahinge.facts.FactSource;
-import org.galenahinge.facts.StorePosition;
 import org.galenahinge.http.CompleteResponse;
 import org.galenahinge.http.Exchange;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.WireAddress;
-import org.galenahinge.wire.generated.FactReading;
 
 /** Reads facts from another entry over HTTP. */
 final class PeerFactClient implements FactSource {
@@ -70,15 +67,9 @@
 
     private ReadResult parse(byte[] bytes) {
         try {
-            FactReading reading = FactReading.parseFrom(compressed ? Compression.decompress(bytes) : bytes);
-            onNodes.accept(reading.getNodesList());
-            List<FactItem> items =
-                    reading.getItemsList().stream().map(FactItemCodec::decode).toList();
-            FactCursor cursor = new FactCursor(
-                    new StorePosition(reading.getEpoch(), reading.getRevision()),
-                    reading.getLog(),
-                    reading.getSequence());
-            return new ReadResult(items, reading.getWhole(), cursor, Duration.ofMillis(reading.getAgeMillis()));
+            FactReadingCodec.Reading reading = FactReadingCodec.decode(bytes, compressed);
+            onNodes.accept(reading.nodes());
+            return reading.result();
         } catch (IOException e) {
             throw new CompletionException(new FactReadException(Cause.MALFORMED, String.valueOf(e.getMessage())));
         }
