Say how many bytes a failed read had, what relays send, and by which configuration a request was refused

Callers saw 404 for routes that had been confirmed seconds before. The logs did not tell a link that is full from one that is dead, nor which configuration refused, nor how old its facts were. A read that runs out of time names the bytes that it had received, the counter facts.sent.bytes counts what an entry sends to others, and a refusal names the configuration and the age of the facts. No change of behaviour.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -219,6 +219,17 @@
         return Duration.ofNanos(Math.max(0, timers.nanoTime() - factsAsOfNanos));
     }
 
+    /**
+     * Returns how old the facts may be, if that can be told.
+     *
+     * @return the time since the latest moment at which the store is known to have held nothing newer; empty before a
+     *     snapshot has been read, and after the VM may have been suspended, until a read succeeds
+     */
+    public Optional<Duration> confirmedAge() {
+        boolean isKnown = loaded && Moment.now(timers).clocksAgreeSince(responded);
+        return isKnown ? Optional.of(age()) : Optional.empty();
+    }
+
     /** Schedules the next check, then starts the reads that are due. */
     private void runPeriodicCheck() {
         timers.schedule(CHECK_INTERVAL, this::runPeriodicCheck);
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.galenahinge.catalog.Catalog;
 import org.galenahinge.concurrent.SuspensionWatch;
@@ -57,6 +58,7 @@
     private final SuspensionWatch suspension;
     private Optional<Catalog> catalog = Optional.empty();
     private Runnable changed = () -> {};
+    private Supplier<Optional<Duration>> confirmedAge = Optional::empty;
     private long graceUntilNanos;
     private boolean inGrace;
     private boolean itemsReceived;
@@ -93,6 +95,24 @@
         changed = Objects.requireNonNull(listener, "listener");
     }
 
+    /**
+     * Sets what tells how old the facts may be.
+     *
+     * @param age returns the time since they were known to be the newest, empty if that is not known
+     */
+    public void confirmedBy(Supplier<Optional<Duration>> age) {
+        confirmedAge = Objects.requireNonNull(age, "age");
+    }
+
+    /**
+     * Returns how old the facts may be.
+     *
+     * @return the time since they were known to be the newest, empty if that is not known
+     */
+    public Optional<Duration> confirmedAge() {
+        return confirmedAge.get();
+    }
+
     /**
      * Applies items that were received promptly after their publication.
      *
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -205,6 +205,11 @@
         return stop.isEmpty() || stop.get().mayBegin(timers.nanoTime(), deadlineNanos);
     }
 
+    /** Returns how old the facts may be, empty if that is not known. */
+    Optional<Duration> factsAge() {
+        return facts.confirmedAge();
+    }
+
     Optional<Catalog> catalog() {
         return facts.catalog();
     }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.galenahinge.catalog.Catalog;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.log.EventLog.Category;
 import org.galenahinge.placement.PlacementDecision;
@@ -85,6 +86,7 @@
                 .with("detail", rejection.detail())
                 .with("sent", attempts)
                 .with("took_ms", millisSinceArrival())
+                .with("facts_age_ms", gateway.factsAge().map(Duration::toMillis).orElse(-1L))
                 .with(
                         "retry_after_ms",
                         rejection.retryAfter().map(Duration::toMillis).orElse(0L))
@@ -109,12 +111,11 @@
     }
 
     private EventLog.Line line(Category category, String event) {
-        EventLog.Line line = gateway.log().event(category, event).with("request", request.requestId());
-        admitted.ifPresent(known -> line.with("route", known.route().name())
-                .with("service", known.service())
-                .with(
-                        "config",
-                        gateway.catalog().map(catalog -> catalog.version()).orElse(0L)));
+        EventLog.Line line = gateway.log()
+                .event(category, event)
+                .with("request", request.requestId())
+                .with("config", gateway.catalog().map(Catalog::version).orElse(0L));
+        admitted.ifPresent(known -> line.with("route", known.route().name()).with("service", known.service()));
         return line;
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/http/CompleteResponse.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/CompleteResponse.java
@@ -38,10 +38,12 @@
     public static CompletionStage<CompleteResponse> fetch(
             NetworkThreads threads, URI server, Exchange.Request request, Duration timeout, long maximumBytes) {
         CompletableFuture<CompleteResponse> result = new CompletableFuture<>();
-        Exchange exchange = Exchange.send(threads, server, request, new Collector(result, maximumBytes));
+        Collector collector = new Collector(result, maximumBytes);
+        Exchange exchange = Exchange.send(threads, server, request, collector);
         Future<?> timer = threads.schedule(
                 timeout.toMillis(),
-                () -> result.completeExceptionally(new FailedException("no complete response in time")));
+                () -> result.completeExceptionally(new FailedException(
+                        "no complete response in time, " + collector.received() + " bytes of its body received")));
         result.whenComplete((response, error) -> {
             timer.cancel(false);
             if (error != null) {
@@ -113,6 +115,10 @@
             this.maximumBytes = maximumBytes;
         }
 
+        int received() {
+            return body.size();
+        }
+
         @Override
         public void onHead(int newStatus, Exchange.Headers newHeaders) {
             status = newStatus;
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -95,7 +95,7 @@
         FactLog items = FactLog.create(seed);
         this.synchronizer = FactSynchronizer.create(
                 platform.store(threads), factPeers(), items, this::itemsChanged, timers, log, seed);
-        this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp);
+        this.relay = new FactRelay(items, synchronizer, timers, this::addressesUp, metrics);
         GatewaySettings gatewaySettings = new GatewaySettings(
                 settings.zone(),
                 settings.retryBudget(),
@@ -140,6 +140,7 @@
         WeightsCache weightsCache = WeightsCache.create(weightsSources, timers, log, metrics);
         this.weightsServer = new WeightsServer(facts, weightsCache, timers, this::addressesUp);
         facts.onChange(this::factsChanged);
+        facts.confirmedBy(synchronizer::confirmedAge);
         synchronizer.onStoreRecovered(facts::storeRecovered);
         synchronizer.onRefresh(relay::onRefresh);
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -1,5 +1,7 @@
 package org.galenahinge.node;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -23,16 +25,23 @@
     private final Timers timers;
     private final Supplier<List<String>> nodes;
     private final WaitList<PendingRead> waiting;
+    private final Counter sentBytes;
 
     private record PendingRead(
             ReadRequest request, Duration ageAtArrival, long arrivalNanos, Consumer<HttpDocument> reply) {}
 
-    FactRelay(FactLog facts, FactSynchronizer synchronizer, Timers timers, Supplier<List<String>> nodes) {
+    FactRelay(
+            FactLog facts,
+            FactSynchronizer synchronizer,
+            Timers timers,
+            Supplier<List<String>> nodes,
+            MetricRegistry metrics) {
         this.facts = Objects.requireNonNull(facts, "facts");
         this.synchronizer = Objects.requireNonNull(synchronizer, "synchronizer");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.nodes = Objects.requireNonNull(nodes, "nodes");
         this.waiting = new WaitList<>(timers, MAXIMUM_WAITING_REQUESTS);
+        this.sentBytes = metrics.counter("facts.sent.bytes");
     }
 
     /**
@@ -92,6 +101,7 @@
     private void respond(ReadRequest request, Consumer<HttpDocument> reply) {
         FactLog.Changes changes = facts.changesAfter(request.after());
         byte[] bytes = FactReadingCodec.encode(changes, synchronizer.age(), nodes.get(), request.compressed());
+        sentBytes.inc(bytes.length);
         reply.accept(HttpDocument.bytes(200, bytes));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
@@ -221,7 +221,7 @@
             FactPeers peers = new FactPeers(address, () -> settings, roster, () -> isReady, peer -> reader(peer));
             synchronizer = FactSynchronizer.create(
                     this, peers, log, (items, age) -> taken(items), timers, NO_LOG, random.nextLong());
-            relay = new FactRelay(log, synchronizer, timers, List::of);
+            relay = new FactRelay(log, synchronizer, timers, List::of, new MetricRegistry());
             synchronizer.onRefresh(relay::onRefresh);
         }
 
