Entries send each other large facts compressed, and encode them once for all that know the same

Items of 1 KB and more are now compressed on every path, not only between failure domains, and readers with the same cursor share the encoded message.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -146,7 +146,16 @@
                 .map(Held::item)
                 .sorted(Comparator.comparing(FactItem::position))
                 .toList();
-        return new Changes(changes, needsAll, new FactCursor(position, id, sequence));
+        return new Changes(changes, needsAll, cursor());
+    }
+
+    /**
+     * Returns how far a reader has read that knows all of this log.
+     *
+     * @return the cursor
+     */
+    public FactCursor cursor() {
+        return new FactCursor(position, id, sequence);
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -151,7 +151,7 @@
                 () -> settings,
                 roster,
                 () -> ready,
-                peer -> new PeerFactClient(threads, peer.address(), peer.remote(), membership::addDiscovered));
+                address -> new PeerFactClient(threads, address, membership::addDiscovered));
     }
 
     /**
@@ -408,10 +408,7 @@
         QueryStringDecoder query = new QueryStringDecoder(uri);
         if (query.path().equals("/facts")) {
             relay.read(
-                    new FactRelay.ReadRequest(
-                            readerOf(query),
-                            Duration.ofMillis(NodeQuery.number(query, "wait")),
-                            NodeQuery.flag(query, "packed")),
+                    new FactRelay.ReadRequest(readerOf(query), Duration.ofMillis(NodeQuery.number(query, "wait"))),
                     reply);
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.galenahinge.facts.FactSource;
 import org.galenahinge.facts.FactSynchronizer;
+import org.galenahinge.wire.WireAddress;
 
 /** The roles of the entries that share facts, as one of them sees them. Not thread-safe. */
 final class FactPeers implements FactSynchronizer.Peers {
@@ -14,21 +15,21 @@
     private final Supplier<NodeSettings> settings;
     private final EntryRoster roster;
     private final BooleanSupplier ready;
-    private final Function<PeerSelector.Peer, FactSource> sources;
+    private final Function<WireAddress, FactSource> sources;
 
     /**
      * @param self this entry
      * @param settings the settings of this entry
      * @param roster the entries that are up
      * @param ready tells whether this entry takes callers, and duties with them
-     * @param sources reads facts from another entry
+     * @param sources reads facts from the entry at an address
      */
     FactPeers(
             NodeAddress self,
             Supplier<NodeSettings> settings,
             EntryRoster roster,
             BooleanSupplier ready,
-            Function<PeerSelector.Peer, FactSource> sources) {
+            Function<WireAddress, FactSource> sources) {
         this.self = Objects.requireNonNull(self, "self");
         this.settings = Objects.requireNonNull(settings, "settings");
         this.roster = Objects.requireNonNull(roster, "roster");
--- a/galenahinge/src/main/java/org/galenahinge/node/FactReadingCodec.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactReadingCodec.java
@@ -1,5 +1,6 @@
 package org.galenahinge.node;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -10,8 +11,10 @@
 import org.galenahinge.facts.StorePosition;
 import org.galenahinge.wire.generated.FactReading;
 
-/** Encodes what one entry reads from another one. */
+/** Encodes what one entry reads from another one. Items that are large are compressed, once for all that read the same. */
 final class FactReadingCodec {
+    private static final int COMPRESSED_FROM_BYTES = 1_024;
+
     private FactReadingCodec() {}
 
     /**
@@ -26,24 +29,50 @@
         }
     }
 
-    static byte[] encode(FactLog.Changes changes, Duration age, List<String> nodes, boolean compressed) {
-        FactReading.Builder reading = FactReading.newBuilder()
-                .setRevision(changes.cursor().position().revision())
+    /**
+     * Encodes what does not depend on when it is sent.
+     *
+     * @param changes the changes that a reader does not know
+     * @return a message without the age and the nodes
+     */
+    static FactReading prepare(FactLog.Changes changes) {
+        FactReading.Builder items = FactReading.newBuilder();
+        changes.items().forEach(item -> items.addItems(FactItemCodec.encode(item)));
+        byte[] encoded = items.build().toByteArray();
+        FactReading.Builder reading = encoded.length < COMPRESSED_FROM_BYTES
+                ? items
+                : FactReading.newBuilder().setCompressedItems(ByteString.copyFrom(Compression.compress(encoded)));
+        return reading.setRevision(changes.cursor().position().revision())
                 .setEpoch(changes.cursor().position().epoch())
                 .setLog(changes.cursor().logId())
                 .setSequence(changes.cursor().sequence())
                 .setWhole(changes.snapshot())
+                .build();
+    }
+
+    static byte[] encode(FactReading prepared, Duration age, List<String> nodes) {
+        return prepared.toBuilder()
                 .setAgeMillis(age.toMillis())
-                .addAllNodes(nodes);
-        changes.items().forEach(item -> reading.addItems(FactItemCodec.encode(item)));
-        byte[] bytes = reading.build().toByteArray();
-        return compressed ? Compression.compress(bytes) : bytes;
+                .addAllNodes(nodes)
+                .build()
+                .toByteArray();
     }
 
-    static Reading decode(byte[] bytes, boolean compressed) throws IOException {
-        FactReading reading = FactReading.parseFrom(compressed ? Compression.decompress(bytes) : bytes);
+    /**
+     * Decodes a response.
+     *
+     * @param bytes the response
+     * @return what it says
+     * @throws IOException when it is malformed
+     */
+    static Reading decode(byte[] bytes) throws IOException {
+        FactReading reading = FactReading.parseFrom(bytes);
+        FactReading entries = reading.getCompressedItems().isEmpty()
+                ? reading
+                : FactReading.parseFrom(
+                        Compression.decompress(reading.getCompressedItems().toByteArray()));
         List<FactItem> items =
-                reading.getItemsList().stream().map(FactItemCodec::decode).toList();
+                entries.getItemsList().stream().map(FactItemCodec::decode).toList();
         FactCursor cursor = new FactCursor(
                 new StorePosition(reading.getEpoch(), reading.getRevision()), reading.getLog(), reading.getSequence());
         Duration age = Duration.ofMillis(reading.getAgeMillis());
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -3,7 +3,9 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -13,10 +15,12 @@
 import org.galenahinge.facts.FactLog;
 import org.galenahinge.facts.FactSynchronizer;
 import org.galenahinge.http.HttpDocument;
+import org.galenahinge.wire.generated.FactReading;
 
 /** Serves facts to other nodes, which request the changes that they do not know. Not thread-safe. */
 final class FactRelay {
     private static final int MAXIMUM_WAITING_REQUESTS = 1_000;
+    private static final int MAXIMUM_PREPARED = 8;
     private static final Duration MAXIMUM_WAIT = Duration.ofSeconds(2);
     private static final Duration MINIMUM_ADVANCE = Duration.ofMillis(200);
 
@@ -26,6 +30,8 @@
     private final Supplier<List<String>> nodes;
     private final WaitList<PendingRead> waiting;
     private final Counter sentBytes;
+    private final Map<FactCursor, FactReading> prepared = new HashMap<>();
+    private FactCursor preparedUpTo = FactCursor.START;
 
     private record PendingRead(
             ReadRequest request, Duration ageAtArrival, long arrivalNanos, Consumer<HttpDocument> reply) {}
@@ -49,9 +55,8 @@
      *
      * @param after how far the node has read
      * @param maximumWait the maximum time to wait for a change; at most 2 seconds are waited
-     * @param compressed whether to compress the response, for a low-bandwidth link
      */
-    record ReadRequest(FactCursor after, Duration maximumWait, boolean compressed) {}
+    record ReadRequest(FactCursor after, Duration maximumWait) {}
 
     /**
      * Responds to a request once there is a change, or once the time up to which these facts are known to be current
@@ -94,13 +99,24 @@
         return advance.compareTo(MINIMUM_ADVANCE) > 0;
     }
 
+    /** Returns what a reader does not know; readers that know the same get the same message. */
+    private FactReading prepared(FactCursor reader) {
+        if (!facts.cursor().equals(preparedUpTo)) {
+            preparedUpTo = facts.cursor();
+            prepared.clear();
+        }
+        if (prepared.size() >= MAXIMUM_PREPARED) {
+            prepared.clear();
+        }
+        return prepared.computeIfAbsent(reader, known -> FactReadingCodec.prepare(facts.changesAfter(known)));
+    }
+
     private void respond(PendingRead pending) {
         respond(pending.request(), pending.reply());
     }
 
     private void respond(ReadRequest request, Consumer<HttpDocument> reply) {
-        FactLog.Changes changes = facts.changesAfter(request.after());
-        byte[] bytes = FactReadingCodec.encode(changes, synchronizer.age(), nodes.get(), request.compressed());
+        byte[] bytes = FactReadingCodec.encode(prepared(request.after()), synchronizer.age(), nodes.get());
         sentBytes.inc(bytes.length);
         reply.accept(HttpDocument.bytes(200, bytes));
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeQuery.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeQuery.java
@@ -16,11 +16,6 @@
         }
     }
 
-    /** Returns whether the parameter is present with the value {@code true}. */
-    static boolean flag(QueryStringDecoder query, String name) {
-        return text(query, name).equals("true");
-    }
-
     /** Returns the first value of the parameter, or empty text when it is missing. */
     static String text(QueryStringDecoder query, String name) {
         List<String> values = query.parameters().getOrDefault(name, List.of());
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
@@ -23,7 +23,6 @@
 
     private final NetworkThreads threads;
     private final WireAddress address;
-    private final boolean compressed;
     private final Consumer<List<String>> onNodes;
 
     /**
@@ -31,13 +30,11 @@
      *
      * @param threads the threads that serve its connections
      * @param address the address of the other entry
-     * @param compressed whether to request compressed responses, for low-bandwidth links
      * @param onNodes receives the addresses, as text, of the entries that the other entry considers up
      */
-    PeerFactClient(NetworkThreads threads, WireAddress address, boolean compressed, Consumer<List<String>> onNodes) {
+    PeerFactClient(NetworkThreads threads, WireAddress address, Consumer<List<String>> onNodes) {
         this.threads = Objects.requireNonNull(threads, "threads");
         this.address = Objects.requireNonNull(address, "address");
-        this.compressed = compressed;
         this.onNodes = Objects.requireNonNull(onNodes, "onNodes");
     }
 
@@ -45,7 +42,7 @@
     public CompletionStage<ReadResult> read(FactCursor after, Duration wait) {
         String path = "/facts?after=" + after.position().revision() + "&epoch="
                 + after.position().epoch() + "&log=" + after.logId() + "&sequence=" + after.sequence() + "&wait="
-                + wait.toMillis() + "&packed=" + compressed;
+                + wait.toMillis();
         return CompleteResponse.fetch(
                         threads,
                         address.toHttpUri(),
@@ -67,7 +64,7 @@
 
     private ReadResult parse(byte[] bytes) {
         try {
-            FactReadingCodec.Reading reading = FactReadingCodec.decode(bytes, compressed);
+            FactReadingCodec.Reading reading = FactReadingCodec.decode(bytes);
             onNodes.accept(reading.nodes());
             return reading.result();
         } catch (IOException e) {
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerSelector.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerSelector.java
@@ -9,18 +9,11 @@
 final class PeerSelector {
     private PeerSelector() {}
 
-    /**
-     * A selected entry.
-     *
-     * @param address its address for other nodes
-     * @param remote whether it is, or may be, in another failure domain, where the link may have little bandwidth
-     */
-    record Peer(WireAddress address, boolean remote) {}
-
-    static Optional<Peer> select(NodeSettings settings, EntryRoster roster, int failures) {
+    /** Returns the address of the entry for other nodes, empty if there is none. */
+    static Optional<WireAddress> select(NodeSettings settings, EntryRoster roster, int failures) {
         Optional<NodeAddress> known = roster.factSource(settings.name(), failures);
         if (known.isPresent()) {
-            return known.map(entry -> new Peer(entry.nodes(), !entry.zone().equals(settings.zone())));
+            return known.map(NodeAddress::nodes);
         }
         List<WireAddress> seeds = settings.seeds().stream()
                 .filter(seed -> !settings.peerAddress().equals(Optional.of(seed)))
@@ -28,6 +21,6 @@
         if (seeds.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(new Peer(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())), true));
+        return Optional.of(seeds.get(ThreadLocalRandom.current().nextInt(seeds.size())));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
@@ -256,12 +256,12 @@
             });
         }
 
-        private FactSource reader(PeerSelector.Peer peer) {
-            Entry source = byAddress.get(peer.address());
+        private FactSource reader(WireAddress peer) {
+            Entry source = byAddress.get(peer);
             return new FactSource() {
                 @Override
                 public CompletionStage<ReadResult> read(FactCursor after, Duration wait) {
-                    return readFrom(source, new FactRelay.ReadRequest(after, wait, peer.remote()));
+                    return readFrom(source, new FactRelay.ReadRequest(after, wait));
                 }
 
                 @Override
@@ -275,20 +275,19 @@
             Read read = new Read(request.maximumWait().plus(PEER_MARGIN));
             timers.schedule(DELAY, () -> {
                 if (!isCut && !source.isCut) {
-                    source.relay.read(request, document -> respond(read, source, request.compressed(), document));
+                    source.relay.read(request, document -> respond(read, source, document));
                 }
             });
             return read.result;
         }
 
-        private void respond(Read read, Entry source, boolean compressed, HttpDocument document) {
+        private void respond(Read read, Entry source, HttpDocument document) {
             if (document.status() != 200) {
                 read.fail(Cause.REFUSED);
                 return;
             }
             try {
-                ReadResult result =
-                        FactReadingCodec.decode(document.body(), compressed).result();
+                ReadResult result = FactReadingCodec.decode(document.body()).result();
                 read.respond(document.body().length, path(source.outgoing, source.region, this), result);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
