Entries of a failure domain read the store in turn, and ask the one that stands in for their relay first

Each entry now has a turn, by the order of rendezvous hashing: the relay and the one that stands in for it as before, each further one 100 ms later, and none while another entry delivers facts that are current. An entry whose relay fails asks the stand-in, then the watcher, then any other entry; it asked any other entry before, mostly across a link between regions. Not enough by itself: reads that are slow are still thrown away. waitsForItsTurnAtTheStoreIfItsPeerIsStale and eachEntryHasATurnOfItsOwnAtTheStore are new.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -29,6 +29,12 @@
     /** Added to {@link #STALE_AFTER} for nodes that are no relays, so that one read of the store can serve them all. */
     public static final Duration NON_RELAY_DELAY = Duration.ofMillis(250);
 
+    /** How long a node waits for the one whose turn to read the store is before its own. */
+    private static final Duration TURN_INTERVAL = Duration.ofMillis(100);
+
+    /** The last turn at which a node reads the store as soon as others fail, without waiting for those before it. */
+    private static final int STAND_IN_TURN = 1;
+
     /** Stands for the age of items that may have been published at any time before. */
     public static final Duration AGE_UNKNOWN = Duration.ofDays(1);
 
@@ -82,6 +88,7 @@
     private Moment responded;
     private long staleJitterNanos;
     private long fallbackUntilNanos;
+    private long turnUntilNanos;
     private Optional<FactSource> preferredPeer = Optional.empty();
     private long preferredUntilNanos;
     private boolean peerAnswered;
@@ -114,11 +121,11 @@
         boolean isWatcher();
 
         /**
-         * Tells whether other nodes rely on this one for their facts.
+         * Tells when it is the turn of this node to read the store, if those that others read from cannot.
          *
-         * @return whether it is a relay
+         * @return 0 for a relay, on which others rely for their facts; 1 for the node that stands in for it, and so on
          */
-        boolean isRelay();
+        int storeTurn();
 
         /**
          * Returns the node to read from.
@@ -141,6 +148,7 @@
         this.factsAsOfNanos = timers.nanoTime();
         this.responded = Moment.now(timers);
         this.fallbackUntilNanos = factsAsOfNanos;
+        this.turnUntilNanos = factsAsOfNanos;
         this.comparePeersUntilNanos = factsAsOfNanos;
     }
 
@@ -247,7 +255,7 @@
         }
         boolean watcher = peers.isWatcher();
         boolean fallback = !loaded || now - fallbackUntilNanos < 0 || (!watcher && peerState.failures > 0);
-        if (watcher || fallback) {
+        if (watcher || (fallback && mayReadStore(now))) {
             startRead(storeState, Optional.of(store));
         }
         if (!watcher || fallback || now - comparePeersUntilNanos < 0) {
@@ -255,6 +263,22 @@
         }
     }
 
+    /**
+     * Tells whether it is the turn of this node to read the store. A large change must not cross the link to the store once
+     * for each node behind it, all at the same time.
+     */
+    private boolean mayReadStore(long now) {
+        int turn = peers.storeTurn();
+        if (!loaded || turn <= STAND_IN_TURN) {
+            return true;
+        }
+        Duration waited = TURN_INTERVAL.multipliedBy(turn - STAND_IN_TURN);
+        if (age().compareTo(staleAfter().plus(waited)) > 0) {
+            turnUntilNanos = now + FALLBACK_PERIOD.toNanos();
+        }
+        return now - turnUntilNanos < 0;
+    }
+
     private Optional<FactSource> currentPeer(long now) {
         if (preferredPeer.isPresent() && now - preferredUntilNanos < 0 && peerState.failures == 0) {
             return preferredPeer;
@@ -275,6 +299,7 @@
             state.failures++;
             return;
         }
+        turnUntilNanos = timers.nanoTime();
         if (state.failures > 0) {
             preferredPeer = Optional.of(source);
             preferredUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
@@ -560,7 +585,7 @@
     }
 
     private Duration staleAfter() {
-        Duration base = peers.isRelay() ? STALE_AFTER : STALE_AFTER.plus(NON_RELAY_DELAY);
+        Duration base = peers.storeTurn() == 0 ? STALE_AFTER : STALE_AFTER.plus(NON_RELAY_DELAY);
         return base.plusNanos(staleJitterNanos);
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -32,6 +32,7 @@
     private Map<String, List<NodeAddress>> byZone = Map.of();
     private Optional<NodeAddress> watcher = Optional.empty();
     private Optional<NodeAddress> ownRelay = Optional.empty();
+    private List<NodeAddress> ownRelays = List.of();
 
     EntryRoster(String zone, long seed) {
         this.zone = Objects.requireNonNull(zone, "zone");
@@ -51,7 +52,8 @@
                 .collect(Collectors.toUnmodifiableMap(up::get, index -> index, (first, second) -> first));
         byZone = Map.copyOf(up.stream().collect(Collectors.groupingBy(NodeAddress::zone)));
         watcher = assignee(up, WATCH_DUTY);
-        ownRelay = relayOf(zone);
+        ownRelays = ranked(inZone(zone), RELAY_DUTY);
+        ownRelay = ownRelays.stream().findFirst();
     }
 
     List<NodeAddress> up() {
@@ -78,16 +80,30 @@
         return assignee(inZone(failureDomain), RELAY_DUTY);
     }
 
-    /** Tells whether an entry is the watcher or the relay of this failure domain, so that others read facts from it. */
-    boolean isFactSource(String name) {
-        return Stream.of(watcher, ownRelay)
+    /**
+     * Returns when it is the turn of an entry of this failure domain to read the store, if the others do not.
+     *
+     * @param name the name of the entry
+     * @return 0 for the watcher and the relay, from which the others read facts; 1 for the entry that stands in for the relay,
+     *     and so on
+     */
+    int storeTurn(String name) {
+        boolean isSource = Stream.of(watcher, ownRelay)
                 .flatMap(Optional::stream)
                 .anyMatch(entry -> entry.name().equals(name));
+        if (isSource) {
+            return 0;
+        }
+        long before = ownRelays.stream()
+                .takeWhile(entry -> !entry.name().equals(name))
+                .count();
+        return (int) Math.max(1, before);
     }
 
     /**
      * Returns the entry to read facts from: the relay of this failure domain, or the watcher where this node is that
-     * relay or none exists. After a failure, or where that is this node itself, a random other entry.
+     * relay or none exists. After one failure the entry that stands in for the relay, after two the watcher. After more, or
+     * where that is this node itself, a random other entry.
      *
      * @param self the name of this node
      * @param failures the number of consecutive failed reads
@@ -95,9 +111,14 @@
      */
     Optional<NodeAddress> factSource(String self, int failures) {
         boolean readsFromWatcher = ownRelay.isEmpty() || ownRelay.get().name().equals(self);
-        Optional<NodeAddress> source = (readsFromWatcher ? watcher : ownRelay)
-                .filter(entry -> !entry.name().equals(self));
-        if (failures == 0 && source.isPresent()) {
+        Optional<NodeAddress> source = switch (failures) {
+            case 0 -> readsFromWatcher ? watcher : ownRelay;
+            case 1 -> ownRelays.stream().skip(1).findFirst();
+            case 2 -> watcher;
+            default -> Optional.empty();
+        };
+        source = source.filter(entry -> !entry.name().equals(self));
+        if (source.isPresent()) {
             return source;
         }
         List<NodeAddress> others = new ArrayList<>(up);
@@ -110,6 +131,13 @@
         return assignee(up, duty);
     }
 
+    private static List<NodeAddress> ranked(Collection<NodeAddress> entries, String duty) {
+        long key = Rendezvous.key(duty);
+        return entries.stream()
+                .sorted(Comparator.comparingLong(entry -> Rendezvous.hash(entry.name(), key)))
+                .toList();
+    }
+
     /** Returns the entry among the given ones that rendezvous hashing assigns a duty to. */
     static Optional<NodeAddress> assignee(Collection<NodeAddress> entries, String duty) {
         long key = Rendezvous.key(duty);
--- a/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
@@ -44,8 +44,8 @@
     }
 
     @Override
-    public boolean isRelay() {
-        return ready.getAsBoolean() && roster.isFactSource(self.name());
+    public int storeTurn() {
+        return ready.getAsBoolean() ? roster.storeTurn(self.name()) : 1;
     }
 
     @Override
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -30,6 +30,7 @@
     private final List<Duration> maximumAges = new ArrayList<>();
     private final Map<String, Duration> agesByKey = new HashMap<>();
     private boolean watcher;
+    private int storeTurn = 1;
     private int recoveries;
     private boolean peerKnown = true;
     private boolean listenerFails;
@@ -77,6 +78,24 @@
         assertThat(maximumAges.get(maximumAges.size() - 1)).isLessThanOrEqualTo(Duration.ofMillis(1_800));
     }
 
+    /**
+     * Guards against nodes that all read the store at the same moment because those that they read from are stale: the later
+     * the turn of a node, the longer it waits for others.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 0, 1400", "4, 600, 2000", "15, 1700, 3200"})
+    void waitsForItsTurnAtTheStoreIfItsPeerIsStale(int turn, long earliestMillis, long latestMillis) {
+        storeTurn = turn;
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(8));
+        peer.age = Duration.ofSeconds(9);
+        int before = store.reads;
+        timers.advance(Duration.ofMillis(earliestMillis));
+        assertThat(store.reads).isEqualTo(before);
+        timers.advance(Duration.ofMillis(latestMillis - earliestMillis));
+        assertThat(store.reads).isGreaterThan(before);
+    }
+
     /** A watcher that cannot reach the store reads from another node and reports the age of its facts. */
     @Test
     void aWatcherWithoutTheStoreReadsFromAPeer() {
@@ -402,8 +421,8 @@
         }
 
         @Override
-        public boolean isRelay() {
-            return watcher;
+        public int storeTurn() {
+            return watcher ? 0 : storeTurn;
         }
 
         @Override
--- a/galenahinge/src/test/java/org/galenahinge/node/EntryRosterTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/EntryRosterTest.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -54,10 +55,30 @@
         roster.update(addresses);
         assertThat(roster.watcher()).isPresent().isNotEqualTo(Optional.of(watcher));
         assertThat(roster.relayOf("zone-0")).isPresent().isNotEqualTo(Optional.of(relay));
-        assertThat(roster.isFactSource(relay.name())).isFalse();
+        assertThat(roster.storeTurn(relay.name())).isPositive();
         assertThat(roster.inZone("zone-0")).doesNotContain(relay).isNotEmpty();
     }
 
+    /** Guards against all entries of a failure domain reading the store at the same moment when their relay cannot. */
+    @Test
+    void eachEntryHasATurnOfItsOwnAtTheStore() {
+        EntryRoster roster = new EntryRoster("zone-0", 1);
+        roster.update(IntStream.range(0, 10)
+                .mapToObj(number -> address("entry-" + number, number < 8 ? "zone-0" : "zone-1"))
+                .toList());
+        NodeAddress relay = roster.relayOf("zone-0").orElseThrow();
+        List<NodeAddress> others = roster.inZone("zone-0").stream()
+                .filter(entry -> !entry.equals(relay))
+                .filter(entry -> !roster.watcher().equals(Optional.of(entry)))
+                .toList();
+        assertThat(roster.storeTurn(relay.name())).isZero();
+        assertThat(others.stream().map(entry -> roster.storeTurn(entry.name())))
+                .doesNotHaveDuplicates()
+                .allMatch(turn -> turn > 0 && turn < 8);
+        NodeAddress standIn = roster.factSource("entry-8", 1).orElseThrow();
+        assertThat(roster.storeTurn(standIn.name())).isLessThanOrEqualTo(1);
+    }
+
     @Test
     void parsesTheTextOfANodeAddress() {
         NodeAddress address = address("entry-7", "zone-2");
--- a/galenahinge/src/test/java/org/galenahinge/node/VersionGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/VersionGossipTest.java
@@ -152,8 +152,8 @@
         }
 
         @Override
-        public boolean isRelay() {
-            return false;
+        public int storeTurn() {
+            return 1;
         }
 
         @Override
