A read of facts goes on while bytes arrive, and nothing else reads the same meanwhile

Readers that share a link gave up together, so that no attempt carried anything away, for as long as all went on. A read now fails if nothing arrives for 0.6 s, or after 6 s and its waiting time. While a response of another entry arrives, an entry does not turn to the store. Facts count from the first bytes of the response that brought them, not from its end: what the source knew then was written before. An entry whose facts are outdated asks other entries for what they know now, without waiting for a change.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSource.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSource.java
@@ -11,9 +11,10 @@
      *
      * @param after how far the reader has read; {@link FactCursor#START} reads a snapshot of all items
      * @param wait the maximum time to wait for a change
+     * @param onBytes runs whenever some bytes of the response have arrived, before the result is complete
      * @return the result; fails with a {@link FactReadException}
      */
-    CompletionStage<ReadResult> read(FactCursor after, Duration wait);
+    CompletionStage<ReadResult> read(FactCursor after, Duration wait, Runnable onBytes);
 
     /**
      * Returns the name for log lines.
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -29,6 +29,9 @@
     /** Added to {@link #STALE_AFTER} for nodes that are no relays, so that one read of the store can serve them all. */
     public static final Duration NON_RELAY_DELAY = Duration.ofMillis(250);
 
+    /** How long after its last bytes a response still counts as being on its way. */
+    private static final Duration ARRIVING_FOR = Duration.ofMillis(400);
+
     /** How long a node waits for the one whose turn to read the store is before its own. */
     private static final Duration TURN_INTERVAL = Duration.ofMillis(100);
 
@@ -269,6 +272,9 @@
      */
     private boolean mayReadStore(long now) {
         int turn = peers.storeTurn();
+        if (loaded && isArriving(peerState, now)) {
+            return false;
+        }
         if (!loaded || turn <= STAND_IN_TURN) {
             return true;
         }
@@ -297,6 +303,7 @@
         }
         if (age.compareTo(STALE_AFTER) > 0) {
             state.failures++;
+            state.forgetBytes();
             return;
         }
         turnUntilNanos = timers.nanoTime();
@@ -313,7 +320,11 @@
         }
         state.busy = true;
         state.read = Moment.now(timers);
-        read(source.get(), cursor(state), state.wait).whenComplete((result, error) -> {
+        state.firstBytes = Optional.empty();
+        // A node whose facts are outdated asks another one what is known now, and does not wait for a change.
+        boolean asksAtOnce = loaded && !state.store && !peers.isWatcher() && isOutdated();
+        state.wait = asksAtOnce ? Duration.ZERO : state.longestWait;
+        read(source.get(), cursor(state), state.wait, () -> bytesArrived(state)).whenComplete((result, error) -> {
             state.busy = false;
             Throwable failure = error != null ? error : rejection(state, result).orElse(null);
             if (failure == null) {
@@ -326,14 +337,31 @@
     }
 
     /** Reads from a source; one that cannot begin to read fails like one that sends no response. */
-    private static CompletionStage<FactSource.ReadResult> read(FactSource source, FactCursor cursor, Duration wait) {
+    private static CompletionStage<FactSource.ReadResult> read(
+            FactSource source, FactCursor cursor, Duration wait, Runnable onBytes) {
         try {
-            return source.read(cursor, wait);
+            return source.read(cursor, wait, onBytes);
         } catch (RuntimeException e) {
             return CompletableFuture.failedFuture(e);
         }
     }
 
+    private void bytesArrived(SourceState state) {
+        if (!state.busy) {
+            return;
+        }
+        Moment now = Moment.now(timers);
+        state.lastBytesNanos = now.nanos();
+        if (state.firstBytes.isEmpty()) {
+            state.firstBytes = Optional.of(now);
+        }
+    }
+
+    /** Tells whether a response is on its way, so that the same bytes need not be sent by another source as well. */
+    private static boolean isArriving(SourceState state, long now) {
+        return now - state.lastBytesNanos < ARRIVING_FOR.toNanos();
+    }
+
     private FactCursor cursor(SourceState state) {
         boolean needsSnapshot = state.historyGone || !facts.position().isKnown() || (state.store && mayHaveSettled());
         if (needsSnapshot) {
@@ -420,14 +448,16 @@
     }
 
     /**
-     * Returns when the response to a read was sent, at the earliest. If the read took longer than its source waits and a
-     * response travels, this node may have stood still meanwhile, and the response may have been sent right at its start.
+     * Returns when the response to a read was sent, at the earliest: it says what its source knew before its first bytes
+     * arrived. If these took longer than the source waits and a response travels, this node may have stood still meanwhile, and
+     * the response may have been sent right at the start of the read.
      */
     private static Moment earliestResponse(SourceState state, Moment received) {
-        Duration taken = Duration.ofNanos(received.nanos() - state.read.nanos());
+        Moment begun = state.firstBytes.orElse(received);
+        Duration taken = Duration.ofNanos(begun.nanos() - state.read.nanos());
         boolean mayHaveStoodStill =
                 taken.compareTo(state.wait.plus(RESPONSE_TIME)) > 0 || !received.clocksAgreeSince(state.read);
-        return mayHaveStoodStill ? state.read : received;
+        return mayHaveStoodStill ? state.read : begun;
     }
 
     /**
@@ -560,6 +590,7 @@
 
     private void onReadFailed(SourceState state, FactSource source, Throwable error) {
         state.failures++;
+        state.forgetBytes();
         FactReadException.Cause cause = error instanceof FactReadException read
                 ? read.reason()
                 : error.getCause() instanceof FactReadException nested
@@ -604,18 +635,27 @@
     }
 
     private static final class SourceState {
-        private final Duration wait;
+        private final Duration longestWait;
         private final boolean store;
+        private Duration wait;
         private boolean busy;
         private boolean historyGone;
         private int failures;
         private long notBeforeNanos;
+        private long lastBytesNanos;
+        private Optional<Moment> firstBytes = Optional.empty();
         private Moment read = new Moment(0, Instant.EPOCH);
 
-        SourceState(Duration wait, boolean store) {
-            this.wait = wait;
+        SourceState(Duration longestWait, boolean store) {
+            this.longestWait = longestWait;
+            this.wait = longestWait;
             this.store = store;
             this.notBeforeNanos = Long.MIN_VALUE / 2;
+            forgetBytes();
+        }
+
+        void forgetBytes() {
+            lastBytesNanos = Long.MIN_VALUE / 2;
         }
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/http/CompleteResponse.java
+++ b/galenahinge/src/main/java/org/galenahinge/http/CompleteResponse.java
@@ -37,15 +37,33 @@
      */
     public static CompletionStage<CompleteResponse> fetch(
             NetworkThreads threads, URI server, Exchange.Request request, Duration timeout, long maximumBytes) {
+        return fetch(threads, server, request, ResponseTimeout.ofTotal(timeout), maximumBytes, () -> {});
+    }
+
+    /**
+     * Sends a request over a new connection and collects the response, which may take longer while bytes arrive.
+     *
+     * @param threads the threads that serve the connection
+     * @param server the URI of the server; only its host and port are used
+     * @param request the request
+     * @param timeout how long the response may take
+     * @param maximumBytes the maximum size of the body, in bytes
+     * @param onBytes runs whenever some bytes of the response have arrived, on the thread of the connection
+     * @return the response; fails with a {@link FailedException} when it is not complete in time, too large or malformed,
+     *     or when the connection fails
+     */
+    public static CompletionStage<CompleteResponse> fetch(
+            NetworkThreads threads,
+            URI server,
+            Exchange.Request request,
+            ResponseTimeout timeout,
+            long maximumBytes,
+            Runnable onBytes) {
         CompletableFuture<CompleteResponse> result = new CompletableFuture<>();
-        Collector collector = new Collector(result, maximumBytes);
+        Collector collector = new Collector(result, maximumBytes, timeout, onBytes);
         Exchange exchange = Exchange.send(threads, server, request, collector);
-        Future<?> timer = threads.schedule(
-                timeout.toMillis(),
-                () -> result.completeExceptionally(new FailedException(
-                        "no complete response in time, " + collector.received() + " bytes of its body received")));
+        collector.awaitUntilDeadline(threads);
         result.whenComplete((response, error) -> {
-            timer.cancel(false);
             if (error != null) {
                 exchange.close();
             }
@@ -107,22 +125,53 @@
         private final CompletableFuture<CompleteResponse> result;
         private final long maximumBytes;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseTimeout.Deadline deadline;
+        private final Runnable onBytes;
         private int status;
         private Exchange.Headers headers = name -> Optional.empty();
 
-        Collector(CompletableFuture<CompleteResponse> result, long maximumBytes) {
+        Collector(
+                CompletableFuture<CompleteResponse> result,
+                long maximumBytes,
+                ResponseTimeout timeout,
+                Runnable onBytes) {
             this.result = result;
             this.maximumBytes = maximumBytes;
+            this.deadline = new ResponseTimeout.Deadline(timeout, System.nanoTime());
+            this.onBytes = onBytes;
+        }
+
+        /** Fails the response once it has not gone on in time. */
+        private void awaitUntilDeadline(NetworkThreads threads) {
+            if (result.isDone()) {
+                return;
+            }
+            Duration remaining = remaining();
+            if (remaining.isNegative() || remaining.isZero()) {
+                result.completeExceptionally(new FailedException(
+                        "no complete response in time, " + body.size() + " bytes of its body received"));
+                return;
+            }
+            Future<?> timer = threads.schedule(remaining.toMillis() + 1, () -> awaitUntilDeadline(threads));
+            result.whenComplete((response, error) -> timer.cancel(false));
         }
 
-        int received() {
-            return body.size();
+        private synchronized Duration remaining() {
+            return deadline.remaining(System.nanoTime());
+        }
+
+        private void bytesArrived() {
+            synchronized (this) {
+                deadline.bytesArrived(System.nanoTime());
+            }
+            onBytes.run();
         }
 
         @Override
         public void onHead(int newStatus, Exchange.Headers newHeaders) {
             status = newStatus;
             headers = newHeaders;
+            bytesArrived();
         }
 
         @Override
@@ -133,6 +182,7 @@
                 return;
             }
             body.writeBytes(content);
+            bytesArrived();
         }
 
         @Override
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
@@ -13,12 +13,16 @@
 import org.galenahinge.facts.FactSource;
 import org.galenahinge.http.CompleteResponse;
 import org.galenahinge.http.Exchange;
+import org.galenahinge.http.ResponseTimeout;
 import org.galenahinge.wire.NetworkThreads;
 import org.galenahinge.wire.WireAddress;
 
 /** Reads facts from another entry over HTTP. */
 final class PeerFactClient implements FactSource {
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(350);
+    private static final Duration MINIMUM_BEGIN = Duration.ofSeconds(1);
+    private static final Duration MAXIMUM_PAUSE = Duration.ofMillis(600);
+    private static final Duration MAXIMUM_TRANSFER_TIME = Duration.ofSeconds(6);
     private static final long MAXIMUM_BYTES = 16L << 20;
 
     private final NetworkThreads threads;
@@ -39,16 +43,12 @@
     }
 
     @Override
-    public CompletionStage<ReadResult> read(FactCursor after, Duration wait) {
+    public CompletionStage<ReadResult> read(FactCursor after, Duration wait, Runnable onBytes) {
         String path = "/facts?after=" + after.position().revision() + "&epoch="
                 + after.position().epoch() + "&log=" + after.logId() + "&sequence=" + after.sequence() + "&wait="
                 + wait.toMillis();
         return CompleteResponse.fetch(
-                        threads,
-                        address.toHttpUri(),
-                        Exchange.Request.get(path),
-                        wait.plus(RESPONSE_MARGIN),
-                        MAXIMUM_BYTES)
+                        threads, address.toHttpUri(), Exchange.Request.get(path), timeout(wait), MAXIMUM_BYTES, onBytes)
                 .handle((response, error) -> {
                     if (error != null) {
                         throw new FactReadException(Cause.SILENT, String.valueOf(error.getMessage()));
@@ -57,6 +57,15 @@
                 });
     }
 
+    /** Returns how long the response may take to a request that waits for a change. */
+    static ResponseTimeout timeout(Duration wait) {
+        Duration begin = wait.plus(RESPONSE_MARGIN);
+        return new ResponseTimeout(
+                begin.compareTo(MINIMUM_BEGIN) > 0 ? begin : MINIMUM_BEGIN,
+                MAXIMUM_PAUSE,
+                wait.plus(MAXIMUM_TRANSFER_TIME));
+    }
+
     @Override
     public String name() {
         return address.toString();
