An entry that cannot know the newest configuration says that a request has not run, instead of 404 or 401

An entry denies a route or a key for good only if its facts are no older than config_apply_ms less 0.5 s, and its VM was not suspended since its last good read. Else it answers 503 with a Retry-After, reason no_route_unconfirmed or unknown_key_unconfirmed. What the configuration allows is served as before.

--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -74,7 +74,8 @@
         }
         timeoutTimer.ifPresent(Timer::cancel);
         gateway.metrics().request();
-        RequestChecks.Result result = RequestChecks.check(request, gateway.catalog(), gateway.randomFraction());
+        RequestChecks.Result result = RequestChecks.check(
+                request, gateway.catalog(), gateway.isConfigurationConfirmed(), gateway.randomFraction());
         if (result instanceof RequestChecks.Result.Rejected rejected) {
             reject(rejected.rejection());
             return;
--- a/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Gateway.java
@@ -205,6 +205,13 @@
         return stop.isEmpty() || stop.get().mayBegin(timers.nanoTime(), deadlineNanos);
     }
 
+    /** Tells whether the configuration is the newest one that must be in force. */
+    boolean isConfigurationConfirmed() {
+        return factsAge()
+                .filter(age -> age.compareTo(settings.confirmedFor()) <= 0)
+                .isPresent();
+    }
+
     /** Returns how old the facts may be, empty if that is not known. */
     Optional<Duration> factsAge() {
         return facts.confirmedAge();
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
@@ -9,6 +9,7 @@
 /** Checks a request against the configuration before it is placed: route first, then API key. */
 final class RequestChecks {
     private static final Duration UNCONFIGURED_RETRY_AFTER = Duration.ofMillis(300);
+    private static final Duration UNCONFIRMED_RETRY_AFTER = Duration.ofMillis(500);
 
     private RequestChecks() {}
 
@@ -24,10 +25,11 @@
      *
      * @param request the request
      * @param catalog the configuration, empty until the first one has been read
+     * @param confirmed whether the configuration is known to be the newest one that must be in force
      * @param random a random number from 0 to 1 that selects among several backends of a route
      * @return the result
      */
-    static Result check(CallerRequest request, Optional<Catalog> catalog, double random) {
+    static Result check(CallerRequest request, Optional<Catalog> catalog, boolean confirmed, double random) {
         if (catalog.isEmpty()) {
             return rejected(
                     Rejection.notRun("unconfigured", "no configuration is known yet", UNCONFIGURED_RETRY_AFTER));
@@ -35,18 +37,27 @@
         String host = request.headers().get("Host", "");
         Optional<Route> route = catalog.get().routes().find(host, request.path());
         if (route.isEmpty()) {
-            return rejected(Rejection.of(404, "no_route", "no route matches this host and path"));
+            return denied(confirmed, Rejection.of(404, "no_route", "no route matches this host and path"));
         }
         Optional<Organisation> organisation =
                 request.metadata().apiKey().map(catalog.get().organisations()::get);
         boolean needsApiKey =
                 !catalog.get().organisations().isEmpty() && !route.get().allowsAnonymous();
         if (needsApiKey && organisation.isEmpty()) {
-            return rejected(Rejection.of(401, "unknown_key", "the API key is not known"));
+            return denied(confirmed, Rejection.of(401, "unknown_key", "the API key is not known"));
         }
         return new Result.Admitted(AdmittedRequest.of(route.get(), route.get().pickService(random), organisation));
     }
 
+    /** A configuration that may not be the newest can tell what it allows, but not that nothing newer allows more. */
+    private static Result denied(boolean confirmed, Rejection rejection) {
+        if (confirmed) {
+            return rejected(rejection);
+        }
+        String detail = "it is not known whether this is the newest configuration, in which " + rejection.detail();
+        return rejected(Rejection.notRun(rejection.reason() + "_unconfirmed", detail, UNCONFIRMED_RETRY_AFTER));
+    }
+
     private static Result rejected(Rejection rejection) {
         return new Result.Rejected(rejection);
     }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -48,6 +48,7 @@
  */
 public final class EntryNode {
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration TRAVEL_TIME = Duration.ofMillis(500);
     private static final Duration JOIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
     private volatile NodeSettings settings;
@@ -100,6 +101,7 @@
                 settings.zone(),
                 settings.retryBudget(),
                 settings.bounds().versionSwitchTimeout(),
+                confirmedFor(settings.bounds().configurationApplyTime()),
                 settings.coldStartBounds().orElse(ColdStartBounds.DEFAULT),
                 settings::regionOf);
         this.crashLedger = CrashLedger.create(
@@ -244,6 +246,12 @@
         return stopped;
     }
 
+    /** What travelled to this entry may have been known for a little longer than its age says. */
+    private static Duration confirmedFor(Duration applyTime) {
+        Duration confirmed = applyTime.minus(TRAVEL_TIME);
+        return confirmed.isNegative() ? Duration.ZERO : confirmed;
+    }
+
     private static NodeAddress addressOf(NodeSettings settings) {
         return new NodeAddress(
                 settings.name(),
--- a/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/NodeSettings.java
@@ -100,13 +100,19 @@
      *
      * @param stopTimeout the time from the signal to stop until the process is killed
      * @param versionSwitchTimeout the maximum time from the naming of a version until all new requests run on it
+     * @param configurationApplyTime the maximum time from the publication of a configuration until it is in force
      * @param addressCacheTime how long callers may cache an entry's address
      */
-    public record Bounds(Duration stopTimeout, Duration versionSwitchTimeout, Duration addressCacheTime) {
+    public record Bounds(
+            Duration stopTimeout,
+            Duration versionSwitchTimeout,
+            Duration configurationApplyTime,
+            Duration addressCacheTime) {
         /** Checks the components. */
         public Bounds {
             Objects.requireNonNull(stopTimeout, "stopTimeout");
             Objects.requireNonNull(versionSwitchTimeout, "versionSwitchTimeout");
+            Objects.requireNonNull(configurationApplyTime, "configurationApplyTime");
             Objects.requireNonNull(addressCacheTime, "addressCacheTime");
         }
     }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -130,6 +130,18 @@
         assertThat(ages.get(0)).isGreaterThanOrEqualTo(Duration.ofMillis(2_900));
     }
 
+    /** Guards against an entry that takes its facts for the newest right after its VM was suspended. */
+    @Test
+    void doesNotKnowTheAgeOfItsFactsAfterASuspensionUntilItReads() {
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(8));
+        assertThat(synchronizer.confirmedAge()).isPresent();
+        timers.stepTimeOfDay(Duration.ofSeconds(5));
+        assertThat(synchronizer.confirmedAge()).isEmpty();
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(synchronizer.confirmedAge()).isPresent();
+    }
+
     /** A watcher that cannot reach the store reads from another node and reports the age of its facts. */
     @Test
     void aWatcherWithoutTheStoreReadsFromAPeer() {
--- a/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
@@ -378,7 +378,7 @@
                 Optional.of(address.nodes()),
                 seeds,
                 Optional.empty(),
-                new NodeSettings.Bounds(time, time, time),
+                new NodeSettings.Bounds(time, time, time, time),
                 new ServiceRetryBudget.Limits(0.2, 1, time));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/node/SlotNodeTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/SlotNodeTest.java
@@ -60,7 +60,7 @@
                 Optional.empty(),
                 List.of(),
                 Optional.of(ENGINE),
-                new NodeSettings.Bounds(TIME, TIME, TIME),
+                new NodeSettings.Bounds(TIME, TIME, TIME, TIME),
                 new ServiceRetryBudget.Limits(0.2, 1, TIME));
     }
 
