An entry leaves the store to one to which newer facts are on their way, and skips versions that it has missed

A response of another entry says whether newer facts are on their way to its sender; its reader leaves the store to that one for a second. While reads fail, four in five ask the entries of the own failure domain, which know that. The pause after a failed read of another entry grows with failures, no longer with stale responses, which had made it 0.4 to 0.8 s. Turns are 150 ms from each other. After a read of the store that took long to arrive, and at a late turn, a node whose items are mostly one large one reads them all anew: that is one version instead of each since.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactLog.java
@@ -181,6 +181,29 @@
                 .toList();
     }
 
+    /**
+     * Returns how large the items are that are not removed.
+     *
+     * @return the sum of their values, in bytes
+     */
+    public long presentBytes() {
+        return items.values().stream()
+                .mapToLong(held -> held.item().value().length)
+                .sum();
+    }
+
+    /**
+     * Returns how large the largest item is.
+     *
+     * @return the size of its value, in bytes
+     */
+    public long largestBytes() {
+        return items.values().stream()
+                .mapToLong(held -> held.item().value().length)
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns the position up to which the held items are complete.
      *
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSource.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSource.java
@@ -31,11 +31,24 @@
      * @param snapshot whether these are all items
      * @param cursor how far the reader has read with them
      * @param age the age of the items when the source sent them; zero for the store itself
+     * @param arriving whether newer facts were on their way to the source
      */
-    record ReadResult(List<FactItem> items, boolean snapshot, FactCursor cursor, Duration age) {
+    record ReadResult(List<FactItem> items, boolean snapshot, FactCursor cursor, Duration age, boolean arriving) {
         /** Copies the items. */
         public ReadResult {
             items = List.copyOf(items);
         }
+
+        /**
+         * Creates the result of a source to which nothing is on its way.
+         *
+         * @param items the changes, or all items of a snapshot
+         * @param snapshot whether these are all items
+         * @param cursor how far the reader has read with them
+         * @param age the age of the items when the source sent them
+         */
+        public ReadResult(List<FactItem> items, boolean snapshot, FactCursor cursor, Duration age) {
+            this(items, snapshot, cursor, age, false);
+        }
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.galenahinge.concurrent.Moment;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.http.ResponseObserver;
@@ -33,8 +34,17 @@
     /** How long after its last bytes a response still counts as being on its way. */
     private static final Duration ARRIVING_FOR = Duration.ofMillis(400);
 
+    /** A response that takes longer than this to arrive is slow. */
+    private static final Duration SLOW_TRANSFER = Duration.ofMillis(400);
+
+    /** Changes are large if they are more than this part of all items. */
+    private static final int LARGE_SHARE = 2;
+
+    /** How long a node leaves the store to one that said that newer facts are on their way to it. */
+    private static final Duration OTHERS_READ_FOR = Duration.ofSeconds(1);
+
     /** How long a node waits for the one whose turn to read the store is before its own. */
-    private static final Duration TURN_INTERVAL = Duration.ofMillis(100);
+    private static final Duration TURN_INTERVAL = Duration.ofMillis(150);
 
     /** The last turn at which a node reads the store as soon as others fail, without waiting for those before it. */
     private static final int STAND_IN_TURN = 1;
@@ -93,6 +103,7 @@
     private long staleJitterNanos;
     private long fallbackUntilNanos;
     private long turnUntilNanos;
+    private long othersReadUntilNanos;
     private Optional<FactSource> preferredPeer = Optional.empty();
     private long preferredUntilNanos;
     private boolean peerAnswered;
@@ -167,6 +178,7 @@
         this.responded = Moment.now(timers);
         this.fallbackUntilNanos = factsAsOfNanos;
         this.turnUntilNanos = factsAsOfNanos;
+        this.othersReadUntilNanos = factsAsOfNanos;
         this.comparePeersUntilNanos = factsAsOfNanos;
     }
 
@@ -256,6 +268,17 @@
         return isKnown ? Optional.of(age()) : Optional.empty();
     }
 
+    /**
+     * Tells whether newer facts are on their way to this node.
+     *
+     * @return whether a response arrives that is not complete yet
+     */
+    public boolean isArriving() {
+        long now = timers.nanoTime();
+        return Stream.of(storeState, peerState)
+                .anyMatch(state -> state.busy && state.firstBytes.isPresent() && isArriving(state, now));
+    }
+
     /** Schedules the next check, then starts the reads that are due. */
     private void runPeriodicCheck() {
         timers.schedule(CHECK_INTERVAL, this::runPeriodicCheck);
@@ -287,7 +310,8 @@
      */
     private boolean mayReadStore(long now) {
         int turn = peers.storeTurn();
-        if (loaded && isArriving(peerState, now)) {
+        boolean isOnItsWay = isArriving(peerState, now) || now - othersReadUntilNanos < 0;
+        if (loaded && turn > 0 && isOnItsWay) {
             return false;
         }
         if (!loaded || turn <= STAND_IN_TURN) {
@@ -311,14 +335,17 @@
      * Counts a peer with stale facts as failing, so that the next read goes to another peer. A peer that delivers
      * current facts after failures is preferred for a while.
      */
-    private void updateFailures(SourceState state, FactSource source, Duration age) {
+    private void updateFailures(SourceState state, FactSource source, FactSource.ReadResult result) {
         if (state != peerState) {
             state.failures = 0;
             return;
         }
-        if (age.compareTo(STALE_AFTER) > 0) {
+        if (result.age().compareTo(STALE_AFTER) > 0) {
             state.failures++;
             state.forgetBytes();
+            if (result.arriving()) {
+                othersReadUntilNanos = timers.nanoTime() + OTHERS_READ_FOR.toNanos();
+            }
             return;
         }
         turnUntilNanos = timers.nanoTime();
@@ -393,8 +420,37 @@
         return now - state.lastBytesNanos < ARRIVING_FOR.toNanos();
     }
 
+    /**
+     * Tells whether a read of the store took so long that the changes since then are probably more than all there is: each
+     * version of a large item is a change.
+     */
+    private boolean isBehind(SourceState state, FactSource.ReadResult result) {
+        Duration taken = Duration.ofNanos(
+                timers.nanoTime() - state.firstBytes.orElse(state.read).nanos());
+        long bytes =
+                result.items().stream().mapToLong(item -> item.value().length).sum();
+        return state.firstBytes.isPresent()
+                && taken.compareTo(SLOW_TRANSFER) > 0
+                && bytes * LARGE_SHARE > facts.presentBytes();
+    }
+
+    /**
+     * Tells whether this node, whose turn at the store is late, may have missed many versions of an item that is most of all
+     * there is: the nodes that read for it have failed.
+     */
+    private boolean mayBeFarBehind() {
+        return loaded
+                && isOutdated()
+                && peers.storeTurn() > STAND_IN_TURN
+                && facts.largestBytes() * LARGE_SHARE > facts.presentBytes();
+    }
+
     private FactCursor cursor(SourceState state) {
-        boolean needsSnapshot = state.historyGone || !facts.position().isKnown() || (state.store && mayHaveSettled());
+        boolean needsSnapshot = state.historyGone
+                || state.isBehind
+                || !facts.position().isKnown()
+                || (state.store && mayHaveSettled())
+                || (state.store && mayBeFarBehind());
         if (needsSnapshot) {
             return FactCursor.START;
         }
@@ -430,8 +486,10 @@
                     .with("failures", state.failures)
                     .write();
         }
-        updateFailures(state, source, result.age());
+        state.errors = 0;
+        updateFailures(state, source, result);
         state.historyGone = false;
+        state.isBehind = state.store && isBehind(state, result);
         Duration pause = pauseAfter(state, result);
         state.notBeforeNanos = timers.nanoTime() + pause.toNanos();
         if (!pause.isZero()) {
@@ -633,8 +691,9 @@
         if (cause == FactReadException.Cause.SILENT && !state.store) {
             peers.peerSilent(source);
         }
+        state.errors++;
         long backoff =
-                Math.min(MAXIMUM_BACKOFF.toMillis(), INITIAL_BACKOFF.toMillis() << Math.min(state.failures - 1, 5));
+                Math.min(MAXIMUM_BACKOFF.toMillis(), INITIAL_BACKOFF.toMillis() << Math.min(state.errors - 1, 5));
         long jittered = backoff / 2 + random.nextInt((int) backoff / 2 + 1);
         long pause = state.historyGone && state.failures == 1 ? 0 : jittered;
         state.notBeforeNanos = timers.nanoTime() + Duration.ofMillis(pause).toNanos();
@@ -674,7 +733,9 @@
         private Duration wait;
         private boolean busy;
         private boolean historyGone;
+        private boolean isBehind;
         private int failures;
+        private int errors;
         private long notBeforeNanos;
         private long lastBytesNanos;
         private Optional<Moment> firstBytes = Optional.empty();
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -32,8 +32,8 @@
     /** The relay or the watcher, and the entry that stands in for it. */
     private static final int RANKED_FACT_SOURCES = 2;
 
-    /** The number of choices for a fact source, which take turns while reads fail; the last one is any entry. */
-    private static final int FACT_SOURCES = RANKED_FACT_SOURCES + 1;
+    /** While reads fail, one in so many asks any entry: those of the same failure domain are near, and know what is on its way. */
+    private static final int READS_PER_OTHER = 5;
 
     private final String zone;
     private final StoreDistances distances;
@@ -126,8 +126,8 @@
 
     /**
      * Returns the entry to read facts from: the relay of this failure domain, or the watcher where this node is that
-     * relay or none exists. After one failure the entry that stands in for the relay or the watcher, after two, or where that
-     * is this node itself, a random other entry; then the same again.
+     * relay or none exists. After a failure the entry that stands in for it, and so on by turns; after each four failures, or
+     * where that is this node itself, a random other entry.
      *
      * @param self the name of this node
      * @param failures the number of consecutive failed reads
@@ -138,10 +138,10 @@
         boolean readsFromWatcher = isNamed(at(ownRelays, 0), self) || ownRelays.isEmpty();
         List<NodeAddress> sources = (readsFromWatcher ? watchers : ownRelays)
                 .stream().filter(usable).toList();
-        int choice = failures % FACT_SOURCES;
-        Optional<NodeAddress> source =
-                at(sources, choice).filter(entry -> !entry.name().equals(self));
-        if (source.isPresent() && choice < RANKED_FACT_SOURCES) {
+        Optional<NodeAddress> source = at(sources, failures % RANKED_FACT_SOURCES)
+                .filter(entry -> !entry.name().equals(self));
+        boolean asksAny = failures % READS_PER_OTHER == READS_PER_OTHER - 1;
+        if (source.isPresent() && !asksAny) {
             return source;
         }
         List<NodeAddress> others = new ArrayList<>(up);
--- a/galenahinge/src/main/java/org/galenahinge/node/FactReadingCodec.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactReadingCodec.java
@@ -34,6 +34,14 @@
         }
     }
 
+    /**
+     * How up to date a sender is.
+     *
+     * @param age the age of its facts
+     * @param arriving whether newer facts are on their way to it
+     */
+    record Freshness(Duration age, boolean arriving) {}
+
     /**
      * Encodes what does not depend on when it is sent.
      *
@@ -55,9 +63,11 @@
                 .build();
     }
 
-    static byte[] encode(FactReading prepared, Duration age, List<String> nodes, Map<String, Long> distances) {
-        FactReading.Builder reading =
-                prepared.toBuilder().setAgeMillis(age.toMillis()).addAllNodes(nodes);
+    static byte[] encode(FactReading prepared, Freshness freshness, List<String> nodes, Map<String, Long> distances) {
+        FactReading.Builder reading = prepared.toBuilder()
+                .setAgeMillis(freshness.age().toMillis())
+                .setArriving(freshness.arriving())
+                .addAllNodes(nodes);
         distances.forEach((zone, micros) ->
                 reading.addDistances(StoreDistance.newBuilder().setZone(zone).setMicros(micros)));
         return reading.build().toByteArray();
@@ -83,6 +93,9 @@
         Duration age = Duration.ofMillis(reading.getAgeMillis());
         Map<String, Long> distances = reading.getDistancesList().stream()
                 .collect(Collectors.toMap(StoreDistance::getZone, StoreDistance::getMicros, Math::min));
-        return new Reading(new ReadResult(items, reading.getWhole(), cursor, age), reading.getNodesList(), distances);
+        return new Reading(
+                new ReadResult(items, reading.getWhole(), cursor, age, reading.getArriving()),
+                reading.getNodesList(),
+                distances);
     }
 }
--- a/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactRelay.java
@@ -119,8 +119,9 @@
     }
 
     private void respond(ReadRequest request, Consumer<HttpDocument> reply) {
-        byte[] bytes =
-                FactReadingCodec.encode(prepared(request.after()), synchronizer.age(), nodes.get(), distances.all());
+        FactReadingCodec.Freshness freshness =
+                new FactReadingCodec.Freshness(synchronizer.age(), synchronizer.isArriving());
+        byte[] bytes = FactReadingCodec.encode(prepared(request.after()), freshness, nodes.get(), distances.all());
         sentBytes.inc(bytes.length);
         reply.accept(HttpDocument.bytes(200, bytes));
     }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -143,6 +144,26 @@
         assertThat(synchronizer.confirmedAge()).isPresent();
     }
 
+    /** Guards against a watcher that falls behind for good, since the versions of a large item come faster than it reads them. */
+    @ParameterizedTest
+    @CsvSource({"200, false", "1500, true"})
+    void readsAllItemsInsteadOfManyVersionsOfALargeOne(long transferMillis, boolean isSnapshot) {
+        watcher = true;
+        peerKnown = false;
+        store.publish("other");
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(8));
+        store.transferTime = Duration.ofMillis(transferMillis);
+        for (int version = 0; version < 2; version++) {
+            timers.advance(Duration.ofMillis(transferMillis + 1_000));
+            store.publishLarge("large");
+        }
+        timers.advance(Duration.ofMillis(2 * transferMillis + 2_000));
+        assertThat(store.snapshots > 1).isEqualTo(isSnapshot);
+        assertThat(changedItems.stream().filter(item -> item.key().equals("large")))
+                .hasSize(2);
+    }
+
     /** A watcher that cannot reach the store reads from another node and reports the age of its facts. */
     @Test
     void aWatcherWithoutTheStoreReadsFromAPeer() {
@@ -491,6 +512,7 @@
         private long epoch = 1;
         private long revision = 1;
         private int reads;
+        private int snapshots;
 
         FakeSource(String name) {
             this.name = name;
@@ -500,6 +522,13 @@
             items.add(FactItem.written(key, new byte[0], new StorePosition(epoch, ++revision)));
         }
 
+        void publishLarge(String key) {
+            items.removeIf(item -> item.key().equals(key));
+            byte[] value = new byte[1 << 10];
+            Arrays.fill(value, (byte) ++revision);
+            items.add(FactItem.written(key, value, new StorePosition(epoch, revision)));
+        }
+
         void publishVersion(String key) {
             FactItem item = FactItem.written(key, new byte[0], new StorePosition(epoch, ++revision));
             items.add(item.withRank(FactRank.ofVersion(2)));
@@ -545,6 +574,7 @@
                 return result;
             }
             boolean snapshot = !after.position().isKnown() || after.position().epoch() != epoch;
+            snapshots += snapshot ? 1 : 0;
             List<FactItem> changes = items.stream()
                     .filter(item ->
                             snapshot || item.revision() > after.position().revision())
--- a/galenahinge/src/test/java/org/galenahinge/node/ConfigurationSpreadTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/ConfigurationSpreadTest.java
@@ -24,6 +24,7 @@
                 named("weights are transferred", FactFleetModel::transferWeights),
                 named("the watcher is cut off", FactFleetModel::cutWatcher),
                 named("a relay is cut off", FactFleetModel::cutRelayOfLastRegion),
+                named("the region of the store is cut off", FactFleetModel::cutRegionOfStore),
                 named("entries start", model -> model.start(5)),
                 named("entries start while weights are transferred", model -> {
                     model.transferWeights();
