An entry that starts asks another entry before the store, and takes callers once its facts are current

An entry that starts reads the store only if another one fails, or has not begun to respond after 0.3 s. It takes callers once its facts are current, or after 2 s without that, since then nobody who responds knows better; before, it took them with facts of any age. doesNotReadTheStoreAtStartIfAPeerResponds is new; before, the store was read in each of its cases.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -69,11 +69,14 @@
     private static final Duration STORE_OUTAGE_AFTER = Duration.ofMillis(2_500);
 
     /**
-     * How long a node that has read the store waits for another node before it relies on what it read: the store may have
-     * been restored from an older copy, and others may know better.
+     * How long a node that starts waits for another node before it relies on what it read from the store, which may have been
+     * restored from an older copy: others may know better.
      */
     private static final Duration MAXIMUM_PEER_WAIT_AT_START = Duration.ofMillis(700);
 
+    /** How long a node that starts waits for another node before it reads the store as well. */
+    private static final Duration STORE_DELAY_AT_START = Duration.ofMillis(300);
+
     private static final int MAXIMUM_PEER_FAILURES_AT_START = 3;
 
     /** How long after a restore the store no longer holds the records of upstreams that have ended: they expire before. */
@@ -107,7 +110,7 @@
     private Optional<FactSource> preferredPeer = Optional.empty();
     private long preferredUntilNanos;
     private boolean peerAnswered;
-    private long storeReadNanos;
+    private long startedNanos;
     private long comparePeersUntilNanos;
     private long settledNanos;
     private FactCursor peerCursor = FactCursor.START;
@@ -227,6 +230,7 @@
 
     /** Starts reading. */
     public void start() {
+        startedNanos = timers.nanoTime();
         runPeriodicCheck();
     }
 
@@ -309,12 +313,15 @@
      * for each node behind it, all at the same time.
      */
     private boolean mayReadStore(long now) {
+        if (!loaded) {
+            return mayReadStoreAtStart(now);
+        }
         int turn = peers.storeTurn();
         boolean isOnItsWay = isArriving(peerState, now) || now - othersReadUntilNanos < 0;
-        if (loaded && turn > 0 && isOnItsWay) {
+        if (turn > 0 && isOnItsWay) {
             return false;
         }
-        if (!loaded || turn <= STAND_IN_TURN) {
+        if (turn <= STAND_IN_TURN) {
             return true;
         }
         Duration waited = TURN_INTERVAL.multipliedBy(turn - STAND_IN_TURN);
@@ -324,6 +331,15 @@
         return now - turnUntilNanos < 0;
     }
 
+    /**
+     * Tells whether a node that has just started reads the store. Many may start at the same moment, and what all of them need
+     * is at another node, compressed, if there is one.
+     */
+    private boolean mayReadStoreAtStart(long now) {
+        boolean isPeerLate = now - startedNanos >= STORE_DELAY_AT_START.toNanos() && !isArriving(peerState, now);
+        return isPeerLate || peerState.failures > 0 || peers.peer(0).isEmpty();
+    }
+
     private Optional<FactSource> currentPeer(long now) {
         if (preferredPeer.isPresent() && now - preferredUntilNanos < 0 && peerState.failures == 0) {
             return preferredPeer;
@@ -594,8 +610,6 @@
         if (!state.store) {
             peerAnswered = true;
             peerCursor = result.cursor();
-        } else if (storeReadNanos == 0) {
-            storeReadNanos = timers.nanoTime();
         }
     }
 
@@ -624,7 +638,7 @@
         boolean asked = peerAnswered
                 || peerState.failures >= MAXIMUM_PEER_FAILURES_AT_START
                 || peers.peer(0).isEmpty()
-                || timers.nanoTime() - storeReadNanos > MAXIMUM_PEER_WAIT_AT_START.toNanos();
+                || timers.nanoTime() - startedNanos > MAXIMUM_PEER_WAIT_AT_START.toNanos();
         if (!asked) {
             return;
         }
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -50,6 +50,7 @@
 public final class EntryNode {
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
     private static final Duration TRAVEL_TIME = Duration.ofMillis(500);
+    private static final Duration MAXIMUM_WAIT_FOR_FRESH_FACTS = Duration.ofSeconds(2);
     private static final Duration JOIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
     private volatile NodeSettings settings;
@@ -73,6 +74,7 @@
     private final EntryGossip gossip;
     private DatagramNetwork gossipDatagrams;
     private CallerServer callerServer;
+    private Optional<Long> configuredNanos = Optional.empty();
     private boolean stopping;
     private boolean requestsEnded;
     private volatile boolean ready;
@@ -310,7 +312,7 @@
         if (stopping) {
             return;
         }
-        if (facts.catalog().isEmpty()) {
+        if (!mayJoin()) {
             timers.schedule(JOIN_CHECK_INTERVAL, this::joinWhenReady);
             return;
         }
@@ -319,9 +321,25 @@
         ready = true;
         log.event(Category.LIFECYCLE, "ready")
                 .with("config", facts.catalog().get().version())
+                .with("facts_age_ms", synchronizer.age().toMillis())
                 .write();
     }
 
+    /**
+     * Tells whether this entry may take callers: it knows the newest configuration, or one that nobody who responds can tell to
+     * be the newest.
+     */
+    private boolean mayJoin() {
+        if (facts.catalog().isEmpty()) {
+            return false;
+        }
+        if (configuredNanos.isEmpty()) {
+            configuredNanos = Optional.of(timers.nanoTime());
+        }
+        Duration waited = Duration.ofNanos(timers.nanoTime() - configuredNanos.get());
+        return !synchronizer.isStale() || waited.compareTo(MAXIMUM_WAIT_FOR_FRESH_FACTS) > 0;
+    }
+
     private void beginStop(long signalNanos, CompletableFuture<Void> stopped) {
         stopping = true;
         ready = false;
--- a/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FactSynchronizerTest.java
@@ -223,6 +223,20 @@
         assertThat(synchronizer.isLoaded()).isTrue();
     }
 
+    /** Guards against nodes that start together and all read from the store, over one link, what another node has as well. */
+    @ParameterizedTest
+    @CsvSource({"250, 0, false", "250, 2000, false", "450, 0, true"})
+    void doesNotReadTheStoreAtStartIfAPeerResponds(long delayMillis, long transferMillis, boolean readsStore) {
+        storeTurn = 2;
+        peer.delay = Duration.ofMillis(delayMillis);
+        peer.transferTime = Duration.ofMillis(transferMillis);
+        peer.publish("known");
+        synchronizer.start();
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(synchronizer.isLoaded()).isTrue();
+        assertThat(store.reads > 0).isEqualTo(readsStore);
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void reliesOnTheStoreIfNoPeerResponds(boolean silent) {
