The relay measures how far the store is, if none of its failure domain has read it

Without this, the watcher could stay in a region far from the store: entries that start ask other entries first, so that those of the store's own region may never have connected to it. Found in the model: with 42 entries a large configuration crossed the links between regions with 470,082 bytes, most of them one copy that was not compressed. aLargeConfigurationCrossesToEachRegionOnceAndCompressed guards against that: less than half of the size of the configuration.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -152,6 +152,15 @@
          */
         default void storeConnected(Duration taken) {}
 
+        /**
+         * Tells whether this node should connect to the store only to find out how long that takes.
+         *
+         * @return whether it should, until {@link #storeConnected} has been called
+         */
+        default boolean mustMeasureStore() {
+            return false;
+        }
+
         /**
          * Called when a node has not responded to a read in time.
          *
@@ -300,7 +309,8 @@
         }
         boolean watcher = peers.isWatcher();
         boolean fallback = !loaded || now - fallbackUntilNanos < 0 || (!watcher && peerState.failures > 0);
-        if (watcher || (fallback && mayReadStore(now))) {
+        boolean measures = loaded && peers.mustMeasureStore();
+        if (watcher || measures || (fallback && mayReadStore(now))) {
             startRead(storeState, Optional.of(store));
         }
         if (!watcher || fallback || now - comparePeersUntilNanos < 0) {
--- a/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
@@ -69,6 +69,14 @@
         distances.measured(self.zone(), taken);
     }
 
+    /** The relay measures for its failure domain, none of whose entries may have read the store since it started. */
+    @Override
+    public boolean mustMeasureStore() {
+        return ready.getAsBoolean()
+                && !distances.isKnown(self.zone())
+                && roster.relayOf(self.zone()).equals(Optional.of(self));
+    }
+
     @Override
     public Optional<FactSource> peer(int failures) {
         long now = timers.nanoTime();
--- a/galenahinge/src/main/java/org/galenahinge/node/StoreDistances.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/StoreDistances.java
@@ -47,6 +47,11 @@
         }
     }
 
+    /** Tells whether the distance of a failure domain is known. */
+    boolean isKnown(String domain) {
+        return shortestMicros.containsKey(domain);
+    }
+
     /** Returns the known distances by failure domain, in microseconds. */
     Map<String, Long> all() {
         return Map.copyOf(shortestMicros);
--- a/galenahinge/src/test/java/org/galenahinge/node/ConfigurationSpreadTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/ConfigurationSpreadTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Named;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how long a change takes to be in force at all entries, in a model of entries behind links of little bandwidth. */
 class ConfigurationSpreadTest {
@@ -54,4 +55,18 @@
         model.advance(Duration.ofSeconds(8));
         assertThat(model.lateEntries(APPLY_TIME)).isEmpty();
     }
+
+    /** Guards against a large configuration that crosses the links between regions more often than once to each of them. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 14, 40})
+    void aLargeConfigurationCrossesToEachRegionOnceAndCompressed(int entriesOfRegion) {
+        FactFleetModel model = new FactFleetModel(1);
+        model.start(entriesOfRegion);
+        model.advance(Duration.ofSeconds(10));
+        model.addRoutes(MANY_ROUTES);
+        long before = model.bytesBetweenRegions();
+        long bytes = model.publish();
+        model.advance(Duration.ofSeconds(5));
+        assertThat(model.bytesBetweenRegions() - before).isLessThan(bytes / 2);
+    }
 }
--- a/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/FactFleetModel.java
@@ -100,8 +100,8 @@
         }
     }
 
-    /** Writes the next version of the configuration to the store, which acknowledges it at once. */
-    void publish() {
+    /** Writes the next version of the configuration to the store, which acknowledges it at once; returns its size in bytes. */
+    long publish() {
         long version = publishedNanos.size() + 1L;
         byte[] value = (version + "\n" + String.join(",", routes)).getBytes(StandardCharsets.UTF_8);
         history.add(FactItem.written(CONFIGURATION, value, new StorePosition(1, version))
@@ -110,6 +110,7 @@
         List<Runnable> waiting = List.copyOf(storeWatches);
         storeWatches.clear();
         waiting.forEach(Runnable::run);
+        return value.length;
     }
 
     /** Transfers weights between all regions from now on. */
