An entry whose facts are outdated asks another one while the first does not respond, or slowly

A second read now goes to another entry as soon as the facts are outdated. An entry puts off its turn at the store by 0.5 s at most because newer facts are on their way to it or to others; a slow watcher could have held up all for as long as its read took.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.galenahinge.concurrent.Moment;
 import org.galenahinge.concurrent.Timers;
@@ -43,6 +44,9 @@
     /** How long a node leaves the store to one that said that newer facts are on their way to it. */
     private static final Duration OTHERS_READ_FOR = Duration.ofSeconds(1);
 
+    /** How much later than its turn a node reads the store at most because newer facts are on their way to it or to others. */
+    private static final Duration MAXIMUM_DEFERRAL = Duration.ofMillis(500);
+
     /** How long a node waits for the one whose turn to read the store is before its own. */
     private static final Duration TURN_INTERVAL = Duration.ofMillis(150);
 
@@ -82,6 +86,7 @@
     /** How long after a restore the store no longer holds the records of upstreams that have ended: they expire before. */
     private static final Duration RECORDS_SETTLED_AFTER = Duration.ofSeconds(10);
 
+    private static final int MAXIMUM_CHOICES = 3;
     private static final Duration STALE_RESULT_PAUSE = Duration.ofMillis(60);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(80);
@@ -97,6 +102,9 @@
     private final Random random;
     private final SourceState storeState = new SourceState(STORE_WAIT, true);
     private final SourceState peerState = new SourceState(PEER_WAIT, false);
+    /** Reads from another node while one that this node relies on does not respond, or slowly, and the facts are outdated. */
+    private final SourceState otherPeerState = new SourceState(PEER_WAIT, false);
+
     private Runnable storeRecovered = () -> {};
     private Runnable refreshed = () -> {};
     private boolean loaded;
@@ -288,7 +296,7 @@
      */
     public boolean isArriving() {
         long now = timers.nanoTime();
-        return Stream.of(storeState, peerState)
+        return Stream.of(storeState, peerState, otherPeerState)
                 .anyMatch(state -> state.busy && state.firstBytes.isPresent() && isArriving(state, now));
     }
 
@@ -316,6 +324,9 @@
         if (!watcher || fallback || now - comparePeersUntilNanos < 0) {
             startRead(peerState, currentPeer(now));
         }
+        if (loaded && !watcher && peerState.busy && isOutdated()) {
+            startRead(otherPeerState, otherPeer());
+        }
     }
 
     /**
@@ -328,7 +339,8 @@
         }
         int turn = peers.storeTurn();
         boolean isOnItsWay = isArriving(peerState, now) || now - othersReadUntilNanos < 0;
-        if (turn > 0 && isOnItsWay) {
+        Duration mostDeferred = staleAfter().plus(MAXIMUM_DEFERRAL).plus(TURN_INTERVAL.multipliedBy(turn));
+        if (turn > 0 && isOnItsWay && age().compareTo(mostDeferred) < 0) {
             return false;
         }
         if (turn <= STAND_IN_TURN) {
@@ -357,12 +369,22 @@
         return peers.peer(peerState.failures);
     }
 
+    /** Returns a node other than the one that is being read, if one of the next few choices is another. */
+    private Optional<FactSource> otherPeer() {
+        int failures = peerState.failures + otherPeerState.failures + 1;
+        return IntStream.range(failures, failures + MAXIMUM_CHOICES)
+                .mapToObj(peers::peer)
+                .flatMap(Optional::stream)
+                .filter(source -> !source.name().equals(peerState.sourceName))
+                .findFirst();
+    }
+
     /**
      * Counts a peer with stale facts as failing, so that the next read goes to another peer. A peer that delivers
      * current facts after failures is preferred for a while.
      */
     private void updateFailures(SourceState state, FactSource source, FactSource.ReadResult result) {
-        if (state != peerState) {
+        if (state.store) {
             state.failures = 0;
             return;
         }
@@ -375,7 +397,7 @@
             return;
         }
         turnUntilNanos = timers.nanoTime();
-        if (state.failures > 0) {
+        if (state.failures > 0 || state == otherPeerState) {
             preferredPeer = Optional.of(source);
             preferredUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
         }
@@ -389,6 +411,7 @@
         state.busy = true;
         state.read = Moment.now(timers);
         state.firstBytes = Optional.empty();
+        state.sourceName = source.get().name();
         // A node whose facts are outdated asks another one what is known now, and does not wait for a change.
         boolean asksAtOnce = loaded && !state.store && !peers.isWatcher() && isOutdated();
         state.wait = asksAtOnce ? Duration.ZERO : state.longestWait;
@@ -759,6 +782,7 @@
         private boolean busy;
         private boolean historyGone;
         private boolean isBehind;
+        private String sourceName = "";
         private int failures;
         private int errors;
         private long notBeforeNanos;
--- a/galenahinge/src/test/java/org/galenahinge/node/ConfigurationSpreadTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/ConfigurationSpreadTest.java
@@ -25,6 +25,8 @@
                 named("weights are transferred", FactFleetModel::transferWeights),
                 named("the watcher is cut off", FactFleetModel::cutWatcher),
                 named("a relay is cut off", FactFleetModel::cutRelayOfLastRegion),
+                named("the link of a relay narrows", FactFleetModel::narrowRelayOfLastRegion),
+                named("the link of the watcher narrows", FactFleetModel::narrowWatcher),
                 named("the region of the store is cut off", FactFleetModel::cutRegionOfStore),
                 named("entries start", model -> model.start(5)),
                 named("entries start while weights are transferred", model -> {
