--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -41,18 +41,6 @@
     /** Changes are large if they are more than this part of all items. */
     private static final int LARGE_SHARE = 2;
 
-    /** How long a node leaves the store to one that said that newer facts are on their way to it. */
-    private static final Duration OTHERS_READ_FOR = Duration.ofSeconds(1);
-
-    /** How much later than its turn a node reads the store at most because newer facts are on their way to it or to others. */
-    private static final Duration MAXIMUM_DEFERRAL = Duration.ofMillis(500);
-
-    /** How long a node waits for the one whose turn to read the store is before its own. */
-    private static final Duration TURN_INTERVAL = Duration.ofMillis(150);
-
-    /** The last turn at which a node reads the store as soon as others fail, without waiting for those before it. */
-    private static final int STAND_IN_TURN = 1;
-
     /** Stands for the age of items that may have been published at any time before. */
     public static final Duration AGE_UNKNOWN = Duration.ofDays(1);
 
@@ -105,6 +93,7 @@
     /** Reads from another node while one that this node relies on does not respond, or slowly, and the facts are outdated. */
     private final SourceState otherPeerState = new SourceState(PEER_WAIT, false);
 
+    private final StoreTurn turn;
     private Runnable storeRecovered = () -> {};
     private Runnable refreshed = () -> {};
     private boolean loaded;
@@ -113,8 +102,6 @@
     private Moment responded;
     private long staleJitterNanos;
     private long fallbackUntilNanos;
-    private long turnUntilNanos;
-    private long othersReadUntilNanos;
     private Optional<FactSource> preferredPeer = Optional.empty();
     private long preferredUntilNanos;
     private boolean peerAnswered;
@@ -197,8 +184,7 @@
         this.factsAsOfNanos = timers.nanoTime();
         this.responded = Moment.now(timers);
         this.fallbackUntilNanos = factsAsOfNanos;
-        this.turnUntilNanos = factsAsOfNanos;
-        this.othersReadUntilNanos = factsAsOfNanos;
+        this.turn = new StoreTurn(FALLBACK_PERIOD, factsAsOfNanos);
         this.comparePeersUntilNanos = factsAsOfNanos;
     }
 
@@ -329,28 +315,12 @@
         }
     }
 
-    /**
-     * Tells whether it is the turn of this node to read the store. A large change must not cross the link to the store once
-     * for each node behind it, all at the same time.
-     */
     private boolean mayReadStore(long now) {
         if (!loaded) {
             return mayReadStoreAtStart(now);
         }
-        int turn = peers.storeTurn();
-        boolean isOnItsWay = isArriving(peerState, now) || now - othersReadUntilNanos < 0;
-        Duration mostDeferred = staleAfter().plus(MAXIMUM_DEFERRAL).plus(TURN_INTERVAL.multipliedBy(turn));
-        if (turn > 0 && isOnItsWay && age().compareTo(mostDeferred) < 0) {
-            return false;
-        }
-        if (turn <= STAND_IN_TURN) {
-            return true;
-        }
-        Duration waited = TURN_INTERVAL.multipliedBy(turn - STAND_IN_TURN);
-        if (age().compareTo(staleAfter().plus(waited)) > 0) {
-            turnUntilNanos = now + FALLBACK_PERIOD.toNanos();
-        }
-        return now - turnUntilNanos < 0;
+        StoreTurn.Facts held = new StoreTurn.Facts(age(), staleAfter(), isArriving(peerState, now));
+        return turn.hasCome(peers.storeTurn(), held, now);
     }
 
     /**
@@ -392,11 +362,11 @@
             state.failures++;
             state.forgetBytes();
             if (result.arriving()) {
-                othersReadUntilNanos = timers.nanoTime() + OTHERS_READ_FOR.toNanos();
+                turn.othersRead(timers.nanoTime());
             }
             return;
         }
-        turnUntilNanos = timers.nanoTime();
+        turn.end(timers.nanoTime());
         if (state.failures > 0 || state == otherPeerState) {
             preferredPeer = Optional.of(source);
             preferredUntilNanos = timers.nanoTime() + FALLBACK_PERIOD.toNanos();
@@ -491,7 +461,7 @@
     private boolean mayBeFarBehind() {
         return loaded
                 && isOutdated()
-                && peers.storeTurn() > STAND_IN_TURN
+                && peers.storeTurn() > StoreTurn.STAND_IN
                 && facts.largestBytes() * LARGE_SHARE > facts.presentBytes();
     }
 
