Read-through of the change: an entry derives its place near the store when that changes, not at each check

No change of behaviour is meant. What was found on reading the whole diff: - EntryRoster.storeTurn worked out which failure domains are near the store at each call, several times in each check of the synchronizer (every 100 ms and after each read). No assertion, bound or case has changed. - The page of FactSynchronizer's class still told how the store was read before; three comments were hard to read.

--- a/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FactSynchronizer.java
@@ -20,10 +20,11 @@
 
 /**
  * Keeps the facts of this node up to date. A watcher reads the store, any other node reads from another node. A node
- * whose facts are older than {@link #STALE_AFTER} reads the store as well, whatever its role.
+ * whose facts are outdated asks a second node beside a slow or unresponsive one, and reads the store itself when its
+ * {@link StoreTurn turn} has come.
  *
- * <p>Belongs to one thread. Each fact source has at most one read in progress, so an unresponsive source does not delay
- * reads from the other.
+ * <p>Belongs to one thread. The store, the node that this one reads from and the second node each have at most one read in
+ * progress, so that an unresponsive one does not delay reads from the others.
  */
 public final class FactSynchronizer {
     /** The age of the facts at which a relay stops relying on its source alone. */
@@ -444,19 +445,22 @@
      * version of a large item is a change.
      */
     private boolean isBehind(SourceState state, FactSource.ReadResult result) {
-        Duration taken = Duration.ofNanos(
-                timers.nanoTime() - state.firstBytes.orElse(state.read).nanos());
+        if (result.snapshot() || state.firstBytes.isEmpty()) {
+            return false;
+        }
+        Duration taken =
+                Duration.ofNanos(timers.nanoTime() - state.firstBytes.get().nanos());
+        if (taken.compareTo(SLOW_TRANSFER) <= 0) {
+            return false;
+        }
         long bytes =
                 result.items().stream().mapToLong(item -> item.value().length).sum();
-        return !result.snapshot()
-                && state.firstBytes.isPresent()
-                && taken.compareTo(SLOW_TRANSFER) > 0
-                && bytes * LARGE_SHARE > facts.presentBytes();
+        return bytes * LARGE_SHARE > facts.presentBytes();
     }
 
     /**
-     * Tells whether this node, whose turn at the store is late, may have missed many versions of an item that is most of all
-     * there is: the nodes that read for it have failed.
+     * Tells whether this node may have missed many versions of a large item, because the nodes that read the store for it have
+     * failed and its own turn is late.
      */
     private boolean mayBeFarBehind() {
         return loaded
--- a/galenahinge/src/main/java/org/galenahinge/facts/StoreTurn.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/StoreTurn.java
@@ -10,7 +10,7 @@
     /** The last turn at which a node reads the store as soon as others fail, without waiting for those before it. */
     static final int STAND_IN = 1;
 
-    /** How long a node waits for the one whose turn to read the store is before its own. */
+    /** The time between the turns of two nodes. */
     private static final Duration INTERVAL = Duration.ofMillis(150);
 
     /** How much later than its turn a node reads the store at most because newer facts are on their way to it or to others. */
@@ -24,7 +24,7 @@
     private long othersReadUntilNanos;
 
     /**
-     * @param keptFor how long a node whose turn has come reads the store
+     * @param keptFor how long a node goes on reading the store after its turn has come
      * @param nowNanos the monotonic time, in nanoseconds
      */
     StoreTurn(Duration keptFor, long nowNanos) {
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryRoster.java
@@ -43,6 +43,7 @@
     private Map<String, List<NodeAddress>> byZone = Map.of();
     private List<NodeAddress> watchers = List.of();
     private List<NodeAddress> ownRelays = List.of();
+    private boolean nearStore;
 
     EntryRoster(String zone, long seed) {
         this(zone, new StoreDistances(), seed);
@@ -78,6 +79,7 @@
 
     private void assignWatchers() {
         Set<String> near = distances.near(byZone.keySet());
+        nearStore = near.contains(zone);
         watchers =
                 ranked(up.stream().filter(entry -> near.contains(entry.zone())).toList(), WATCH_DUTY);
     }
@@ -120,8 +122,7 @@
         int before = (int) ownRelays.stream()
                 .takeWhile(entry -> !entry.name().equals(name))
                 .count();
-        boolean isNear = distances.near(byZone.keySet()).contains(zone);
-        return isNear ? before : before + TURNS_OF_NEAR_DOMAINS;
+        return nearStore ? before : before + TURNS_OF_NEAR_DOMAINS;
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/FactPeers.java
@@ -73,7 +73,7 @@
     @Override
     public boolean mustMeasureStore() {
         return ready.getAsBoolean()
-                && !distances.isKnown(self.zone())
+                && distances.find(self.zone()).isEmpty()
                 && roster.relayOf(self.zone()).equals(Optional.of(self));
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/PeerFactClient.java
@@ -91,8 +91,10 @@
     }
 
     private String distanceQuery() {
-        Long micros = distances.all().get(zone);
-        return micros == null ? "" : "&zone=" + URLEncoder.encode(zone, StandardCharsets.UTF_8) + "&distance=" + micros;
+        return distances
+                .find(zone)
+                .map(micros -> "&zone=" + URLEncoder.encode(zone, StandardCharsets.UTF_8) + "&distance=" + micros)
+                .orElse("");
     }
 
     private ReadResult parse(byte[] bytes) {
--- a/galenahinge/src/main/java/org/galenahinge/node/StoreDistances.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/StoreDistances.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -47,9 +48,9 @@
         }
     }
 
-    /** Tells whether the distance of a failure domain is known. */
-    boolean isKnown(String domain) {
-        return shortestMicros.containsKey(domain);
+    /** Returns the distance of a failure domain, in microseconds, empty if it is not known. */
+    Optional<Long> find(String domain) {
+        return Optional.ofNullable(shortestMicros.get(domain));
     }
 
     /** Returns the known distances by failure domain, in microseconds. */
