--- /dev/null
+++ b/review/stand-ins-3/review3/LateOrderCase.java
@@ -0,0 +1,89 @@
+package review3;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** A slow model server accepts an order late, while the operator declares the next version. */
+final class LateOrderCase {
+    private static final String KEY = "jnbanfqasnmgkcuyj8pj";
+    private static final long ORDER_MILLIS = 1_600;
+    private static final long LOAD_SECONDS = 15;
+
+    private LateOrderCase() {}
+
+    public static void main(String[] arguments) {
+        CaseRun.main(arguments, LateOrderCase::perform);
+    }
+
+    private static boolean perform(CaseRun run) throws Exception {
+        int port = Machine.freePorts("127.0.0.2", "127.0.0.3", "127.0.0.4");
+        Machine entry = new Machine("edge-bagmati-a-1", "127.0.0.2", "bagmati-a", port);
+        Machine side = new Machine("side-bagmati-a-1", "127.0.0.4", "bagmati-a", port);
+        Store store = run.closing(new Store("127.0.0.3", port));
+        Origin origin = run.closing(new Origin("127.0.0.3", port + 1, run.recordFile()));
+        EngineServer engine =
+                run.closing(new EngineServer("i-7f3a91c2", side.host(), side.consumerPort(), run.recordFile()));
+        String tenants = "[{\"name\":\"bozi300\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]";
+        store.put("op/config", Deployment.config(7, tenants, origin.address()));
+        store.put("servers/i-7f3a91c2", engine.entry());
+        Deployment deployment = new Deployment(store, List.of(entry));
+        run.startEntry(deployment, entry);
+        run.startSlot(deployment, side, engine.address());
+        run.awaitReady(entry);
+        Thread.sleep(2_000);
+        requireServed(stream(entry, "before"));
+        delayFirstOrder(run, store, engine);
+        declare(run, store, 2);
+        streamUntilLoaded(run, entry, engine);
+        run.keepLog(entry);
+        run.keepLog(side);
+        run.record("WHOLE " + (engine.brokenTokens().isEmpty() ? "held" : "broken"));
+        return engine.brokenTokens().isEmpty();
+    }
+
+    /** With the disruption, the first order takes long; either way, the operator declares version 3 when it arrives. */
+    private static void delayFirstOrder(CaseRun run, Store store, EngineServer engine) {
+        AtomicBoolean first = new AtomicBoolean(true);
+        engine.setOrderDelay(version -> {
+            if (!first.getAndSet(false)) {
+                return 0;
+            }
+            declare(run, store, 3);
+            return run.hasTrouble() ? ORDER_MILLIS : 0;
+        });
+    }
+
+    private static void declare(CaseRun run, Store store, long version) {
+        String value = "{\"model\":\"" + Deployment.MODEL + "\",\"version\":" + version + "}";
+        store.put("op/version/" + Deployment.MODEL, value);
+        run.record("the operator's version " + version + " is acknowledged");
+    }
+
+    private static void streamUntilLoaded(CaseRun run, Machine entry, EngineServer engine) throws Exception {
+        long endNanos = System.nanoTime() + LOAD_SECONDS * 1_000_000_000L;
+        int number = 0;
+        while (engine.version() < 3 && System.nanoTime() - endNanos < 0) {
+            String id = "draft-" + ++number;
+            run.record("consumer sent " + id + ": " + stream(entry, id));
+            Thread.sleep(50);
+        }
+        run.record("the server has version " + engine.version());
+    }
+
+    private static void requireServed(String outcome) {
+        if (!outcome.equals("status 200")) {
+            throw new IllegalStateException("a stream was not served before the disruption: " + outcome);
+        }
+    }
+
+    private static String stream(Machine entry, String attemptId) throws IOException {
+        String headers = "Host: " + Deployment.HOST + "\r\nAttempt-Id: " + attemptId + "\r\nModel: " + Deployment.MODEL
+                + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: 5c1e07a2:40," + attemptId.hashCode() + ":60\r\n"
+                + "Deadline-Ms: 6000\r\nApi-Key: " + KEY + "\r\n";
+        try (Consumer consumer = new Consumer(entry.host(), entry.consumerPort())) {
+            consumer.send("POST " + Deployment.DRAFT_PATH + "2f", headers, "draft".getBytes());
+            return consumer.outcome(7_000);
+        }
+    }
+}
