--- a/review/stand-ins-3/review3/LateOrderCase.java
+++ b/review/stand-ins-3/review3/LateOrderCase.java
@@ -1,14 +1,19 @@
 package review3;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /** A slow model server accepts an order late, while the operator declares the next version. */
 final class LateOrderCase {
     private static final String KEY = "jnbanfqasnmgkcuyj8pj";
-    private static final long ORDER_MILLIS = 1_600;
-    private static final long LOAD_SECONDS = 15;
+    private static final long ORDER_MILLIS = 1_200;
+    private static final long LOAD_SECONDS = 25;
+    private static final long SETTLING_MILLIS = 3_000;
+    private static final int ENGINES = 3;
+    private static final int CONSUMERS = 44;
 
     private LateOrderCase() {}
 
@@ -17,41 +22,51 @@
     }
 
     private static boolean perform(CaseRun run) throws Exception {
-        int port = Machine.freePorts("127.0.0.2", "127.0.0.3", "127.0.0.4");
+        int port = Machine.freePorts("127.0.0.2", "127.0.0.3");
         Machine entry = new Machine("edge-bagmati-a-1", "127.0.0.2", "bagmati-a", port);
-        Machine side = new Machine("side-bagmati-a-1", "127.0.0.4", "bagmati-a", port);
         Store store = run.closing(new Store("127.0.0.3", port));
         Origin origin = run.closing(new Origin("127.0.0.3", port + 1, run.recordFile()));
-        EngineServer engine =
-                run.closing(new EngineServer("i-7f3a91c2", side.host(), side.consumerPort(), run.recordFile()));
         String tenants = "[{\"name\":\"bozi300\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]";
         store.put("op/config", Deployment.config(7, tenants, origin.address()));
-        store.put("servers/i-7f3a91c2", engine.entry());
         Deployment deployment = new Deployment(store, List.of(entry));
         run.startEntry(deployment, entry);
-        run.startSlot(deployment, side, engine.address());
+        List<EngineServer> engines = startEngines(run, store, deployment, port);
         run.awaitReady(entry);
-        Thread.sleep(2_000);
+        Thread.sleep(SETTLING_MILLIS);
         requireServed(stream(entry, "before"));
-        delayFirstOrder(run, store, engine);
+        delayFirstOrder(run, store, engines);
         declare(run, store, 2);
-        streamUntilLoaded(run, entry, engine);
-        run.keepLog(entry);
-        run.keepLog(side);
-        run.record("WHOLE " + (engine.brokenTokens().isEmpty() ? "held" : "broken"));
-        return engine.brokenTokens().isEmpty();
+        streamUntilLoaded(run, entry, engines);
+        boolean held = engines.stream().allMatch(engine -> engine.brokenTokens().isEmpty());
+        run.record("WHOLE " + (held ? "held" : "broken"));
+        return held;
+    }
+
+    private static List<EngineServer> startEngines(CaseRun run, Store store, Deployment deployment, int port)
+            throws IOException {
+        List<EngineServer> engines = new ArrayList<>();
+        for (int number = 1; number <= ENGINES; number++) {
+            Machine side = new Machine("side-bagmati-a-" + number, "127.0.0." + (10 + number), "bagmati-a", port);
+            String id = "i-7f3a91c" + number;
+            EngineServer engine =
+                    run.closing(new EngineServer(id, side.host(), side.consumerPort(), run.recordFile()));
+            store.put("servers/" + id, engine.entry());
+            run.startSlot(deployment, side, engine.address());
+            engines.add(engine);
+        }
+        return engines;
     }
 
     /** With the disruption, the first order takes long; either way, the operator declares version 3 when it arrives. */
-    private static void delayFirstOrder(CaseRun run, Store store, EngineServer engine) {
+    private static void delayFirstOrder(CaseRun run, Store store, List<EngineServer> engines) {
         AtomicBoolean first = new AtomicBoolean(true);
-        engine.setOrderDelay(version -> {
+        engines.forEach(engine -> engine.setOrderDelay(version -> {
             if (!first.getAndSet(false)) {
                 return 0;
             }
             declare(run, store, 3);
             return run.hasTrouble() ? ORDER_MILLIS : 0;
-        });
+        }));
     }
 
     private static void declare(CaseRun run, Store store, long version) {
@@ -60,15 +75,34 @@
         run.record("the operator's version " + version + " is acknowledged");
     }
 
-    private static void streamUntilLoaded(CaseRun run, Machine entry, EngineServer engine) throws Exception {
+    private static void streamUntilLoaded(CaseRun run, Machine entry, List<EngineServer> engines) throws Exception {
         long endNanos = System.nanoTime() + LOAD_SECONDS * 1_000_000_000L;
-        int number = 0;
-        while (engine.version() < 3 && System.nanoTime() - endNanos < 0) {
-            String id = "draft-" + ++number;
-            run.record("consumer sent " + id + ": " + stream(entry, id));
-            Thread.sleep(50);
+        BooleanSupplier goesOn = () ->
+                engines.stream().anyMatch(engine -> engine.version() < 3) && System.nanoTime() - endNanos < 0;
+        List<Thread> consumers = new ArrayList<>();
+        for (int number = 1; number <= CONSUMERS; number++) {
+            String name = "draft-" + number + "-";
+            Thread consumer = new Thread(() -> streamWhile(run, entry, name, goesOn));
+            consumer.setDaemon(true);
+            consumer.start();
+            consumers.add(consumer);
+        }
+        for (Thread consumer : consumers) {
+            consumer.join();
+        }
+        run.record("the servers have versions "
+                + engines.stream().map(EngineServer::version).toList());
+    }
+
+    private static void streamWhile(CaseRun run, Machine entry, String name, BooleanSupplier goesOn) {
+        for (int number = 1; goesOn.getAsBoolean(); number++) {
+            String id = name + number;
+            try {
+                run.record("consumer sent " + id + ": " + stream(entry, id));
+            } catch (IOException e) {
+                run.record("consumer cannot send " + id + ": " + e.getMessage());
+            }
         }
-        run.record("the server has version " + engine.version());
     }
 
     private static void requireServed(String outcome) {
