--- a/review/stand-ins-3/review3/Program.java
+++ b/review/stand-ins-3/review3/Program.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -11,10 +12,12 @@
 final class Program implements AutoCloseable {
     private final String name;
     private final Process process;
+    private final Path settingsFile;
 
-    private Program(String name, Process process) {
+    private Program(String name, Process process, Path settingsFile) {
         this.name = name;
         this.process = process;
+        this.settingsFile = settingsFile;
     }
 
     /** Starts a role in the repository root, which must be the working directory. */
@@ -25,13 +28,24 @@
         builder.environment().put("GALENAHINGE_CONFIG", settingsFile.toString());
         Path log = folder.resolve(machine.name() + ".log");
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
-        return new Program(machine.name(), builder.start());
+        return new Program(machine.name(), builder.start(), settingsFile);
     }
 
     boolean isRunning() {
         return process.isAlive();
     }
 
+    /** Replaces the settings file and tells the program so with SIGHUP. */
+    void changeSettings(String settings) throws IOException, InterruptedException {
+        Path next = settingsFile.resolveSibling(settingsFile.getFileName() + ".next");
+        Files.writeString(next, settings);
+        Files.move(next, settingsFile, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        int code = new ProcessBuilder("kill", "-HUP", Long.toString(id())).start().waitFor();
+        if (code != 0) {
+            throw new IOException("kill -HUP ended with exit code " + code);
+        }
+    }
+
     /** Returns how the program ended, for the record. */
     String state() {
         return name + (process.isAlive() ? " runs" : " has ended with exit code " + process.exitValue());
