--- a/review/stand-ins-3/review3/CaseRun.java
+++ b/review/stand-ins-3/review3/CaseRun.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
@@ -33,8 +34,9 @@
         boolean perform(CaseRun run) throws Exception;
     }
 
-    /** Performs a case and ends this process with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+    /** Performs a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
     static void main(String[] arguments, Steps steps) {
+        Runtime.getRuntime().addShutdownHook(new Thread(CaseRun::endPrograms));
         endAtLast();
         int code = CANNOT_RUN;
         try (CaseRun run = new CaseRun(Path.of(arguments[0]))) {
@@ -57,7 +59,7 @@
             try {
                 TimeUnit.SECONDS.sleep(LONGEST_SECONDS);
                 System.err.println("the case has not ended in time");
-                ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
+                endPrograms();
                 Runtime.getRuntime().halt(CANNOT_RUN);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -67,6 +69,11 @@
         guard.start();
     }
 
+    /** Ends the programs that this process has started, if any is left. */
+    private static void endPrograms() {
+        ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
+    }
+
     boolean hasTrouble() {
         return trouble;
     }
@@ -127,7 +134,7 @@
             Files.copy(
                     folder.resolve(machine.name() + ".log"),
                     Path.of(target, machine.name() + ".log"),
-                    java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+                    StandardCopyOption.REPLACE_EXISTING);
         }
     }
 
--- a/review/stand-ins-3/review3/Deployment.java
+++ b/review/stand-ins-3/review3/Deployment.java
@@ -84,8 +84,20 @@
                 + "\"idle_timeout_ms\":15000},\"tenants\":" + tenants + "}";
     }
 
+    /** Returns a tenant of a config; one whose key is empty has none. */
+    static String tenant(String name, String key) {
+        String keys = key.isEmpty() ? "" : "\"" + key + "\"";
+        return "{\"name\":\"" + name + "\",\"api_keys\":[" + keys + "],\"priority\":1}";
+    }
+
     private static String route(
-            String name, String prefix, String kind, String service, int timeoutMillis, int attempts, boolean resumable) {
+            String name,
+            String prefix,
+            String kind,
+            String service,
+            int timeoutMillis,
+            int attempts,
+            boolean resumable) {
         return "{\"name\":\"" + name + "\",\"host\":\"" + HOST + "\",\"prefix\":\"" + prefix + "\",\"kind\":\"" + kind
                 + "\",\"timeout_ms\":" + timeoutMillis + ",\"target_latency_ms\":400,\"priority\":1,\"service\":\""
                 + service + "\",\"max_attempts\":" + attempts + ",\"public\":false,\"sticky\":" + resumable
--- a/review/stand-ins-3/review3/EngineServer.java
+++ b/review/stand-ins-3/review3/EngineServer.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -155,8 +157,8 @@
             byte[] piece = pieces.get(number);
             if (piece == null) {
                 foreign.add(number + " missing");
-            } else if (!java.util.Arrays.equals(piece, Origin.piece(version, number))) {
-                foreign.add(number + " of version " + java.nio.ByteBuffer.wrap(piece).getLong());
+            } else if (!Arrays.equals(piece, Origin.piece(version, number))) {
+                foreign.add(number + " of version " + ByteBuffer.wrap(piece).getLong());
             }
         }
         return new Weights(version, foreign);
--- a/review/stand-ins-3/review3/KeysTakenAwayCase.java
+++ b/review/stand-ins-3/review3/KeysTakenAwayCase.java
@@ -1,11 +1,10 @@
 package review3;
 
-import java.io.IOException;
 import java.util.List;
 
 /** The keys of both tenants are taken away; requests with them, and with a key that never was, must get 401. */
 final class KeysTakenAwayCase {
-    private static final String HELD_KEY = "jnbanfqasnmgkcuyj8pj";
+    private static final String HELD_KEY = Requests.KEY;
     private static final String OTHER_HELD_KEY = "bvk9m68k7b2ex5wa5xwy";
     private static final int REVOKE_GAP_MILLIS = 1_500;
     private static final String FOREIGN_KEY = "q0zz7c1nv5m2kd8t4xha";
@@ -29,15 +28,15 @@
         run.awaitReady(machine);
         try (Consumer held = new Consumer(machine.host(), machine.consumerPort());
                 Consumer foreign = new Consumer(machine.host(), machine.consumerPort())) {
-            requireServed(run, order(run, held, HELD_KEY, "before-held"));
-            requireDenied(run, order(run, foreign, FOREIGN_KEY, "before-foreign"));
+            Requests.requireServed(Requests.order(run, held, HELD_KEY, "before-held"));
+            requireDenied(Requests.order(run, foreign, FOREIGN_KEY, "before-foreign"));
             publish(run, store, 9, HELD_KEY, run.hasTrouble() ? "" : OTHER_HELD_KEY);
             Thread.sleep(REVOKE_GAP_MILLIS);
             publish(run, store, 12, run.hasTrouble() ? "" : HELD_KEY, run.hasTrouble() ? "" : OTHER_HELD_KEY);
             Thread.sleep(Deployment.CONFIG_APPLY_MILLIS + 1_000);
             for (int number = 1; number <= REQUESTS; number++) {
-                order(run, held, HELD_KEY, "after-held-" + number);
-                order(run, foreign, FOREIGN_KEY, "after-foreign-" + number);
+                Requests.order(run, held, HELD_KEY, "after-held-" + number);
+                Requests.order(run, foreign, FOREIGN_KEY, "after-foreign-" + number);
             }
         }
         return judge(run, server);
@@ -45,32 +44,12 @@
 
     /** Publishes a config with two tenants; a tenant whose key is empty has none. */
     private static void publish(CaseRun run, Store store, long version, String key, String otherKey) {
-        String tenants = "[" + tenant("bozi300", key) + "," + tenant("luda411", otherKey) + "]";
+        String tenants = "[" + Deployment.tenant("bozi300", key) + "," + Deployment.tenant("luda411", otherKey) + "]";
         store.put("op/config", Deployment.config(version, tenants, "127.0.0.3:9"));
         run.record("the operator's config " + version + " is acknowledged: tenants " + tenants);
     }
 
-    private static String tenant(String name, String key) {
-        String keys = key.isEmpty() ? "" : "\"" + key + "\"";
-        return "{\"name\":\"" + name + "\",\"api_keys\":[" + keys + "],\"priority\":1}";
-    }
-
-    private static String order(CaseRun run, Consumer consumer, String key, String attemptId) throws IOException {
-        String headers = "Host: " + Deployment.HOST + "\r\nAttempt-Id: " + attemptId + "\r\nDeadline-Ms: 800\r\nApi-Key: "
-                + key + "\r\n";
-        consumer.send("POST " + Deployment.ORDER_PATH + "2f", headers, "one board".getBytes());
-        String outcome = consumer.outcome(2_000);
-        run.record("consumer sent " + attemptId + " with key " + key + ": " + outcome);
-        return outcome;
-    }
-
-    private static void requireServed(CaseRun run, String outcome) {
-        if (!outcome.equals("status 200")) {
-            throw new IllegalStateException("a request with a held key was not served before the disruption: " + outcome);
-        }
-    }
-
-    private static void requireDenied(CaseRun run, String outcome) {
+    private static void requireDenied(String outcome) {
         if (!outcome.equals("status 401")) {
             throw new IllegalStateException("a foreign key was not denied before the disruption: " + outcome);
         }
--- a/review/stand-ins-3/review3/LateOrderCase.java
+++ b/review/stand-ins-3/review3/LateOrderCase.java
@@ -8,7 +8,6 @@
 
 /** A slow model server accepts an order late, while the operator declares the next version. */
 final class LateOrderCase {
-    private static final String KEY = "jnbanfqasnmgkcuyj8pj";
     private static final long ORDER_MILLIS = 1_200;
     private static final long LOAD_SECONDS = 25;
     private static final long SETTLING_MILLIS = 3_000;
@@ -22,21 +21,24 @@
     }
 
     private static boolean perform(CaseRun run) throws Exception {
-        int port = Machine.freePorts("127.0.0.2", "127.0.0.3");
+        int port = Machine.freePorts("127.0.0.2", "127.0.0.3", engineHost(1), engineHost(2), engineHost(3));
         Machine entry = new Machine("edge-bagmati-a-1", "127.0.0.2", "bagmati-a", port);
         Store store = run.closing(new Store("127.0.0.3", port));
         Origin origin = run.closing(new Origin("127.0.0.3", port + 1, run.recordFile()));
-        String tenants = "[{\"name\":\"bozi300\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]";
+        String tenants = "[" + Deployment.tenant("bozi300", Requests.KEY) + "]";
         store.put("op/config", Deployment.config(7, tenants, origin.address()));
         Deployment deployment = new Deployment(store, List.of(entry));
         run.startEntry(deployment, entry);
         List<EngineServer> engines = startEngines(run, store, deployment, port);
         run.awaitReady(entry);
         Thread.sleep(SETTLING_MILLIS);
-        requireServed(stream(entry, "before"));
+        Requests.requireServed(Requests.draft(entry, "before"));
         delayFirstOrder(run, store, engines);
-        declare(run, store, 2);
+        store.declareVersion(run, 2);
         streamUntilLoaded(run, entry, engines);
+        if (engines.stream().anyMatch(engine -> engine.version() < 3)) {
+            throw new IllegalStateException("the servers have not loaded version 3 after " + LOAD_SECONDS + " s");
+        }
         boolean held = engines.stream().allMatch(engine -> engine.brokenTokens().isEmpty());
         run.record("WHOLE " + (held ? "held" : "broken"));
         return held;
@@ -46,7 +48,7 @@
             throws IOException {
         List<EngineServer> engines = new ArrayList<>();
         for (int number = 1; number <= ENGINES; number++) {
-            Machine side = new Machine("side-bagmati-a-" + number, "127.0.0." + (10 + number), "bagmati-a", port);
+            Machine side = new Machine("side-bagmati-a-" + number, engineHost(number), "bagmati-a", port);
             String id = "i-7f3a91c" + number;
             EngineServer engine =
                     run.closing(new EngineServer(id, side.host(), side.consumerPort(), run.recordFile()));
@@ -57,6 +59,10 @@
         return engines;
     }
 
+    private static String engineHost(int number) {
+        return "127.0.0." + (10 + number);
+    }
+
     /** With the disruption, the first order takes long; either way, the operator declares version 3 when it arrives. */
     private static void delayFirstOrder(CaseRun run, Store store, List<EngineServer> engines) {
         AtomicBoolean first = new AtomicBoolean(true);
@@ -64,17 +70,11 @@
             if (!first.getAndSet(false)) {
                 return 0;
             }
-            declare(run, store, 3);
+            store.declareVersion(run, 3);
             return run.hasTrouble() ? ORDER_MILLIS : 0;
         }));
     }
 
-    private static void declare(CaseRun run, Store store, long version) {
-        String value = "{\"model\":\"" + Deployment.MODEL + "\",\"version\":" + version + "}";
-        store.put("op/version/" + Deployment.MODEL, value);
-        run.record("the operator's version " + version + " is acknowledged");
-    }
-
     private static void streamUntilLoaded(CaseRun run, Machine entry, List<EngineServer> engines) throws Exception {
         long endNanos = System.nanoTime() + LOAD_SECONDS * 1_000_000_000L;
         BooleanSupplier goesOn = () ->
@@ -98,26 +98,10 @@
         for (int number = 1; goesOn.getAsBoolean(); number++) {
             String id = name + number;
             try {
-                run.record("consumer sent " + id + ": " + stream(entry, id));
+                run.record("consumer sent " + id + ": " + Requests.draft(entry, id));
             } catch (IOException e) {
                 run.record("consumer cannot send " + id + ": " + e.getMessage());
             }
         }
     }
-
-    private static void requireServed(String outcome) {
-        if (!outcome.equals("status 200")) {
-            throw new IllegalStateException("a stream was not served before the disruption: " + outcome);
-        }
-    }
-
-    private static String stream(Machine entry, String attemptId) throws IOException {
-        String headers = "Host: " + Deployment.HOST + "\r\nAttempt-Id: " + attemptId + "\r\nModel: " + Deployment.MODEL
-                + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: 5c1e07a2:40," + attemptId.hashCode() + ":60\r\n"
-                + "Deadline-Ms: 6000\r\nApi-Key: " + KEY + "\r\n";
-        try (Consumer consumer = new Consumer(entry.host(), entry.consumerPort())) {
-            consumer.send("POST " + Deployment.DRAFT_PATH + "2f", headers, "draft".getBytes());
-            return consumer.outcome(7_000);
-        }
-    }
 }
--- a/review/stand-ins-3/review3/OrderServer.java
+++ b/review/stand-ins-3/review3/OrderServer.java
@@ -32,11 +32,6 @@
         return runs;
     }
 
-    /** Returns whether the server has run a request. */
-    boolean hasRun(String attemptId) {
-        return runs.stream().anyMatch(run -> run.attemptId().equals(attemptId));
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
--- a/review/stand-ins-3/review3/Program.java
+++ b/review/stand-ins-3/review3/Program.java
@@ -31,10 +31,6 @@
         return new Program(machine.name(), builder.start(), settingsFile);
     }
 
-    boolean isRunning() {
-        return process.isAlive();
-    }
-
     /** Replaces the settings file and tells the program so with SIGHUP. */
     void changeSettings(String settings) throws IOException, InterruptedException {
         Path next = settingsFile.resolveSibling(settingsFile.getFileName() + ".next");
@@ -46,11 +42,6 @@
         }
     }
 
-    /** Returns how the program ended, for the record. */
-    String state() {
-        return name + (process.isAlive() ? " runs" : " has ended with exit code " + process.exitValue());
-    }
-
     long id() {
         return process.pid();
     }
--- a/review/stand-ins-3/review3/SpoiltManifestCase.java
+++ b/review/stand-ins-3/review3/SpoiltManifestCase.java
@@ -5,7 +5,6 @@
 
 /** The origin hands out the digests of a new version once with a part that is spoilt. */
 final class SpoiltManifestCase {
-    private static final String KEY = "jnbanfqasnmgkcuyj8pj";
     private static final long LOAD_SECONDS = 15;
     private static final long LATER_MILLIS = 10_000;
 
@@ -23,7 +22,7 @@
         Origin origin = run.closing(new Origin("127.0.0.3", port + 1, run.recordFile()));
         EngineServer engine =
                 run.closing(new EngineServer("i-7f3a91c2", side.host(), side.consumerPort(), run.recordFile()));
-        String tenants = "[{\"name\":\"bozi300\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]";
+        String tenants = "[" + Deployment.tenant("bozi300", Requests.KEY) + "]";
         store.put("op/config", Deployment.config(7, tenants, origin.address()));
         store.put("servers/i-7f3a91c2", engine.entry());
         Deployment deployment = new Deployment(store, List.of(entry));
@@ -31,50 +30,31 @@
         run.startSlot(deployment, side, engine.address());
         run.awaitReady(entry);
         Thread.sleep(2_000);
-        requireServed(stream(entry, "before"));
+        Requests.requireServed(Requests.draft(entry, "before"));
         if (run.hasTrouble()) {
             origin.spoilNextManifest();
         }
-        declare(run, store, 2);
+        store.declareVersion(run, 2);
         streamUntilLoaded(run, entry, engine);
+        if (engine.version() < 2) {
+            throw new IllegalStateException("the server has not loaded version 2 after " + LOAD_SECONDS + " s");
+        }
         Thread.sleep(LATER_MILLIS);
-        run.record("consumer sent later: " + stream(entry, "later"));
+        run.record("consumer sent later: " + Requests.draft(entry, "later"));
         run.keepLog(entry);
         run.keepLog(side);
         run.record("WHOLE " + (engine.brokenTokens().isEmpty() ? "held" : "broken"));
         return engine.brokenTokens().isEmpty();
     }
 
-    private static void declare(CaseRun run, Store store, long version) {
-        String value = "{\"model\":\"" + Deployment.MODEL + "\",\"version\":" + version + "}";
-        store.put("op/version/" + Deployment.MODEL, value);
-        run.record("the operator's version " + version + " is acknowledged");
-    }
-
     private static void streamUntilLoaded(CaseRun run, Machine entry, EngineServer engine) throws Exception {
         long endNanos = System.nanoTime() + LOAD_SECONDS * 1_000_000_000L;
         int number = 0;
         while (engine.version() < 2 && System.nanoTime() - endNanos < 0) {
             String id = "draft-" + ++number;
-            run.record("consumer sent " + id + ": " + stream(entry, id));
+            run.record("consumer sent " + id + ": " + Requests.draft(entry, id));
             Thread.sleep(50);
         }
         run.record("the server has version " + engine.version());
     }
-
-    private static void requireServed(String outcome) {
-        if (!outcome.equals("status 200")) {
-            throw new IllegalStateException("a stream was not served before the disruption: " + outcome);
-        }
-    }
-
-    private static String stream(Machine entry, String attemptId) throws IOException {
-        String headers = "Host: " + Deployment.HOST + "\r\nAttempt-Id: " + attemptId + "\r\nModel: " + Deployment.MODEL
-                + "\r\nToken-Counts: 100,20\r\nPrompt-Prefix: 5c1e07a2:40," + attemptId.hashCode() + ":60\r\n"
-                + "Deadline-Ms: 6000\r\nApi-Key: " + KEY + "\r\n";
-        try (Consumer consumer = new Consumer(entry.host(), entry.consumerPort())) {
-            consumer.send("POST " + Deployment.DRAFT_PATH + "2f", headers, "draft".getBytes());
-            return consumer.outcome(7_000);
-        }
-    }
 }
--- a/review/stand-ins-3/review3/Store.java
+++ b/review/stand-ins-3/review3/Store.java
@@ -18,13 +18,11 @@
     private final List<Item> history = new ArrayList<>();
     private long revision = 1;
 
-    /** A state of an item; a value of null is its removal. */
+    /** An item as it was written; the value is in Base64. */
     private record Item(String key, String value, long revision) {
         String json() {
-            String start = "{\"key\":\"" + key + "\",\"revision\":" + revision;
-            return value == null
-                    ? start + ",\"removed\":true}"
-                    : start + ",\"created\":" + revision + ",\"lease\":0,\"value\":\"" + value + "\"}";
+            return "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"created\":" + revision
+                    + ",\"lease\":0,\"value\":\"" + value + "\"}";
         }
     }
 
@@ -39,11 +37,16 @@
     /** Writes an item. Its return is the ack. */
     synchronized void put(String key, String value) {
         String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
-        apply(new Item(key, encoded, ++revision));
+        Item item = new Item(key, encoded, ++revision);
+        items.put(key, item);
+        history.add(item);
+        notifyAll();
     }
 
-    synchronized void remove(String key) {
-        apply(new Item(key, null, ++revision));
+    /** Declares a version of the model, as the operator does. */
+    void declareVersion(CaseRun run, long version) {
+        put("op/version/" + Deployment.MODEL, "{\"model\":\"" + Deployment.MODEL + "\",\"version\":" + version + "}");
+        run.record("the operator's version " + version + " is acknowledged");
     }
 
     @Override
@@ -51,16 +54,6 @@
         listener.close();
     }
 
-    private void apply(Item item) {
-        if (item.value() == null) {
-            items.remove(item.key());
-        } else {
-            items.put(item.key(), item);
-        }
-        history.add(item);
-        notifyAll();
-    }
-
     private boolean answer(Message request, OutputStream output) throws IOException, InterruptedException {
         String path = request.target().split("\\?")[0];
         switch (path) {
--- a/review/stand-ins-3/review3/StoreMovedCase.java
+++ b/review/stand-ins-3/review3/StoreMovedCase.java
@@ -5,7 +5,7 @@
 
 /** The settings file names another address of the store; what the operator writes there must come into force. */
 final class StoreMovedCase {
-    private static final String FIRST_KEY = "jnbanfqasnmgkcuyj8pj";
+    private static final String FIRST_KEY = Requests.KEY;
     private static final String SECOND_KEY = "bvk9m68k7b2ex5wa5xwy";
     private static final long OVERLAP_MILLIS = 6_000;
     private static final int REQUESTS = 5;
@@ -30,7 +30,7 @@
         }
         Program entry = run.startEntry(new Deployment(oldStore, List.of(machine)), machine);
         run.awaitReady(machine);
-        requireServed(order(run, machine, FIRST_KEY, "before"));
+        Requests.requireServed(order(run, machine, FIRST_KEY, "before"));
         Store current = run.hasTrouble() ? newStore : oldStore;
         entry.changeSettings(new Deployment(current, List.of(machine)).entrySettings(machine));
         run.record("the settings file names the store at " + current.address() + ", and the process gets SIGHUP");
@@ -50,25 +50,14 @@
     }
 
     private static void publish(CaseRun run, Store store, long version, String key) {
-        String tenants = "[{\"name\":\"bozi300\",\"api_keys\":[\"" + key + "\"],\"priority\":1}]";
+        String tenants = "[" + Deployment.tenant("bozi300", key) + "]";
         store.put("op/config", Deployment.config(version, tenants, "127.0.0.3:9"));
         run.record("the store at " + store.address() + " acknowledges config " + version + " with key " + key);
     }
 
     private static String order(CaseRun run, Machine machine, String key, String attemptId) throws IOException {
-        String headers = "Host: " + Deployment.HOST + "\r\nAttempt-Id: " + attemptId + "\r\nDeadline-Ms: 800\r\nApi-Key: "
-                + key + "\r\n";
         try (Consumer consumer = new Consumer(machine.host(), machine.consumerPort())) {
-            consumer.send("POST " + Deployment.ORDER_PATH + "2f", headers, "one board".getBytes());
-            String outcome = consumer.outcome(2_000);
-            run.record("consumer sent " + attemptId + ": " + outcome);
-            return outcome;
-        }
-    }
-
-    private static void requireServed(String outcome) {
-        if (!outcome.equals("status 200")) {
-            throw new IllegalStateException("a request was not served before the settings changed: " + outcome);
+            return Requests.order(run, consumer, key, attemptId);
         }
     }
 
