--- a/galenahinge/src/main/java/org/galenahinge/catalog/Catalog.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/Catalog.java
@@ -11,21 +11,17 @@
  * @param version the version number
  * @param routes the routes
  * @param services the services by name
- * @param organisations the organisations by the key that their callers send; empty when no request needs a key
+ * @param apiKeys the API keys that callers send, and whether they need one
  * @param limits the limits on callers
  */
 public record Catalog(
-        long version,
-        RouteTable routes,
-        Map<String, Service> services,
-        Map<String, Organisation> organisations,
-        CallerLimits limits) {
-    /** Copies the maps. */
+        long version, RouteTable routes, Map<String, Service> services, ApiKeys apiKeys, CallerLimits limits) {
+    /** Copies the services. */
     public Catalog {
         Objects.requireNonNull(routes, "routes");
+        Objects.requireNonNull(apiKeys, "apiKeys");
         Objects.requireNonNull(limits, "limits");
         services = Map.copyOf(services);
-        organisations = Map.copyOf(organisations);
     }
 
     /**
--- a/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
+++ b/galenahinge/src/main/java/org/galenahinge/facts/FleetFacts.java
@@ -343,7 +343,8 @@
                 .with("version", published.version())
                 .with("held", held)
                 .with("routes", published.routes().routes().size())
-                .with("organisations", published.organisations().size())
+                .with("api_keys_required", Boolean.toString(published.apiKeys().areRequired()))
+                .with("api_keys", published.apiKeys().size())
                 .write();
     }
 
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
@@ -40,9 +40,9 @@
             return denied(confirmed, Rejection.of(404, "no_route", "no route matches this host and path"));
         }
         Optional<Organisation> organisation =
-                request.metadata().apiKey().map(catalog.get().organisations()::get);
+                request.metadata().apiKey().flatMap(catalog.get().apiKeys()::organisation);
         boolean needsApiKey =
-                !catalog.get().organisations().isEmpty() && !route.get().allowsAnonymous();
+                catalog.get().apiKeys().areRequired() && !route.get().allowsAnonymous();
         if (needsApiKey && organisation.isEmpty()) {
             return denied(confirmed, Rejection.of(401, "unknown_key", "the API key is not known"));
         }
--- a/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/facts/FleetFactsTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.galenahinge.catalog.ApiKeys;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
 import org.galenahinge.catalog.RouteTable;
@@ -345,7 +346,11 @@
         String[] words = item.key().split(" ", -1);
         if (words[0].equals("config")) {
             return new Fact.ConfigurationPublished(new Catalog(
-                    Long.parseLong(words[1]), RouteTable.of(List.of()), Map.of(), Map.of(), CallerLimits.INITIAL));
+                    Long.parseLong(words[1]),
+                    RouteTable.of(List.of()),
+                    Map.of(),
+                    ApiKeys.notRequired(),
+                    CallerLimits.INITIAL));
         }
         if (words[0].equals("named")) {
             return new Fact.VersionNamed(new WeightsVersion("m", Long.parseLong(words[1])));
--- a/galenahinge/src/test/java/org/galenahinge/gateway/ColdUpstreamsTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/ColdUpstreamsTest.java
@@ -13,6 +13,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.assertj.core.data.Offset;
+import org.galenahinge.catalog.ApiKeys;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
 import org.galenahinge.catalog.ColdStart;
@@ -190,7 +191,8 @@
                 warmsUp ? Optional.of(new ColdStart(Duration.ofSeconds(10), 14)) : Optional.empty();
         Service service = new Service("s", 1, Optional.empty(), Optional.empty(), coldStart);
         CallerLimits callerLimits = new CallerLimits(1, 1, Duration.ZERO, Duration.ZERO);
-        return Optional.of(new Catalog(1, RouteTable.of(List.of()), Map.of("s", service), Map.of(), callerLimits));
+        return Optional.of(
+                new Catalog(1, RouteTable.of(List.of()), Map.of("s", service), ApiKeys.notRequired(), callerLimits));
     }
 
     private static Upstream record(long born, long revision, long coldMillis) {
--- a/galenahinge/src/test/java/org/galenahinge/gateway/EvacuatedConnectionTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/EvacuatedConnectionTest.java
@@ -25,6 +25,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.galenahinge.catalog.ApiKeys;
 import org.galenahinge.catalog.Backend;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
@@ -154,7 +155,7 @@
                 List.of(new Backend(SERVICE, 1)),
                 2,
                 true);
-        return new Catalog(1, RouteTable.of(List.of(route)), Map.of(), Map.of(), CallerLimits.INITIAL);
+        return new Catalog(1, RouteTable.of(List.of(route)), Map.of(), ApiKeys.notRequired(), CallerLimits.INITIAL);
     }
 
     private static Upstream upstream(String id, String zone, ServerSocket server) {
--- a/galenahinge/src/test/java/org/galenahinge/gateway/PromptSizePoliciesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/PromptSizePoliciesTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.stream.IntStream;
+import org.galenahinge.catalog.ApiKeys;
 import org.galenahinge.catalog.Backend;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
@@ -82,7 +83,7 @@
         Map<String, Service> services = Map.of(
                 "mixed", new Service("mixed", 100, Optional.of(engine), Optional.empty()),
                 "other", new Service("other", 100, Optional.of(engine), Optional.empty()));
-        return new Catalog(version, RouteTable.of(routes), services, Map.of(), CallerLimits.INITIAL);
+        return new Catalog(version, RouteTable.of(routes), services, ApiKeys.notRequired(), CallerLimits.INITIAL);
     }
 
     private static Route route(String prefix, int targetMillis) {
--- a/galenahinge/src/test/java/org/galenahinge/gateway/RequestChecksTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/RequestChecksTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import org.galenahinge.catalog.ApiKeys;
 import org.galenahinge.catalog.Backend;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
@@ -68,6 +69,10 @@
                 Set.of());
         Organisation organisation = new Organisation("o", OptionalInt.empty(), Set.of());
         return new Catalog(
-                1, RouteTable.of(List.of(route)), Map.of(), Map.of("key", organisation), CallerLimits.INITIAL);
+                1,
+                RouteTable.of(List.of(route)),
+                Map.of(),
+                ApiKeys.required(Map.of("key", organisation)),
+                CallerLimits.INITIAL);
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/node/WeightsServerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/WeightsServerTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.galenahinge.catalog.ApiKeys;
 import org.galenahinge.catalog.CallerLimits;
 import org.galenahinge.catalog.Catalog;
 import org.galenahinge.catalog.EngineProfile;
@@ -93,8 +94,8 @@
         }
         EngineProfile engine = new EngineProfile(8, 1_000, 1, 0, 0, 1, 0, 100, 1, 1, 1, 16, List.of(NEW.model()));
         Service service = new Service("s", 1, Optional.of(engine), Optional.empty());
-        return new Fact.ConfigurationPublished(
-                new Catalog(1, RouteTable.of(List.of()), Map.of("s", service), Map.of(), CallerLimits.INITIAL));
+        return new Fact.ConfigurationPublished(new Catalog(
+                1, RouteTable.of(List.of()), Map.of("s", service), ApiKeys.notRequired(), CallerLimits.INITIAL));
     }
 
     private static final class OneSource implements WeightsCache.Sources, WeightsSource {
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 /**
  * A small deployment of the platform on the loopback address: a store, an origin and upstreams. It also creates the
@@ -168,6 +169,17 @@
      * @param extraRoutes further routes as JSON, each followed by a comma; may be empty
      */
     public void publishConfig(long version, String extraRoutes) {
+        publishConfig(version, extraRoutes, UnaryOperator.identity());
+    }
+
+    /**
+     * Publishes a configuration that differs from the usual one.
+     *
+     * @param version the version
+     * @param extraRoutes further routes as JSON, each followed by a comma
+     * @param change changes the JSON text of the configuration
+     */
+    public void publishConfig(long version, String extraRoutes, UnaryOperator<String> change) {
         String config = "{\"version\":" + version + ",\"routes\":[" + extraRoutes
                 + route("/lookup/", "idempotent", PLAIN, 2) + "," + route("/order/", "non_idempotent", PLAIN, 2) + ","
                 + route("/draft/", "streaming", ENGINES, 2) + "],\"services\":["
@@ -178,7 +190,7 @@
                 + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":100000,\"header_timeout_ms\":3000,"
                 + "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"firm\",\"api_keys\":[\"" + KEY
                 + "\"],\"priority\":1}]}";
-        store.put("op/config", config);
+        store.put("op/config", change.apply(config));
     }
 
     /**
