--- a/galenahinge/src/main/java/org/galenahinge/catalog/Catalog.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/Catalog.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * One version of the operators' configuration. Immutable; of two versions the higher one is in force.
@@ -34,6 +35,22 @@
         return Optional.ofNullable(services.get(service)).flatMap(Service::engine);
     }
 
+    /**
+     * Returns the number of chunks that each version of a model's weights has.
+     *
+     * @param model the model
+     * @return the number, empty if it is not published, or if the services that serve the model publish several
+     */
+    public OptionalInt weightsChunks(String model) {
+        int[] published = services.values().stream()
+                .flatMap(service -> service.engine().stream())
+                .filter(engine -> engine.models().contains(model))
+                .flatMapToInt(engine -> engine.chunks().stream())
+                .distinct()
+                .toArray();
+        return published.length == 1 ? OptionalInt.of(published[0]) : OptionalInt.empty();
+    }
+
     /**
      * Returns the origins that weights are fetched from.
      *
--- a/galenahinge/src/main/java/org/galenahinge/catalog/EngineProfile.java
+++ b/galenahinge/src/main/java/org/galenahinge/catalog/EngineProfile.java
@@ -19,7 +19,7 @@
  * @param prefillChunkTokens the maximum number of prompt tokens processed in one prefill pass
  * @param decodeStepsPerPass the number of decode steps in one decode pass
  * @param layers the number of layers of a model
- * @param chunks the number of chunks that the weights of a version have
+ * @param chunks the number of chunks that the weights of a version have, empty if it is not published
  * @param chunkBytes the size of a chunk, in bytes
  * @param models the names of the models served
  * @param usualPromptTokens the mean number of prompt tokens of a request, empty if it is not published
@@ -35,7 +35,7 @@
         int prefillChunkTokens,
         int decodeStepsPerPass,
         int layers,
-        int chunks,
+        OptionalInt chunks,
         int chunkBytes,
         List<String> models,
         OptionalInt usualPromptTokens) {
@@ -45,6 +45,7 @@
         if (slots < 1 || !(prefillTokensPerMilli > 0) || !(stepMillis > 0)) {
             throw new IllegalArgumentException("slots, prefillTokensPerMilli and stepMillis must be positive");
         }
+        Objects.requireNonNull(chunks, "chunks");
         Objects.requireNonNull(usualPromptTokens, "usualPromptTokens");
     }
 
@@ -91,7 +92,7 @@
                 prefillChunkTokens,
                 decodeStepsPerPass,
                 layers,
-                chunks,
+                OptionalInt.of(chunks),
                 chunkBytes,
                 models,
                 OptionalInt.empty());
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -143,6 +144,9 @@
                 threads,
                 this::origin,
                 address -> platform.origin(threads, address),
+                model -> facts.catalog()
+                        .map(catalog -> catalog.weightsChunks(model))
+                        .orElse(OptionalInt.empty()),
                 seed);
         WeightsCache weightsCache = WeightsCache.create(weightsSources, timers, log, metrics);
         this.weightsServer = new WeightsServer(facts, weightsCache, timers, this::addressesUp);
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryWeightsClient.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryWeightsClient.java
@@ -106,6 +106,7 @@
                         .setAgeUnknown(!named.isAgeKnown()));
         digests.ifPresent(known -> {
             offer.setModel(known.weights().model()).setVersion(known.weights().version());
+            offer.setChunks(known.size());
             known.digests().forEach(digest -> offer.addDigests(ByteString.copyFrom(HEX.decode(digest))));
         });
         return offer.build().toByteArray();
@@ -114,6 +115,10 @@
     static ServiceWeights decode(byte[] bytes) {
         try {
             WeightsOffer offer = WeightsOffer.parseFrom(bytes);
+            if (offer.getDigestsCount() != offer.getChunks()) {
+                throw new SupplyException("the entry's response has " + offer.getDigestsCount() + " digests of "
+                        + offer.getChunks() + " chunks");
+            }
             Optional<WeightsDigests> digests = offer.getModel().isEmpty()
                     ? Optional.empty()
                     : Optional.of(new WeightsDigests(
--- a/galenahinge/src/main/java/org/galenahinge/node/EntryWeightsSources.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryWeightsSources.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -18,6 +19,7 @@
     private final NetworkThreads threads;
     private final Supplier<Optional<WeightsOrigin>> origin;
     private final Function<WireAddress, WeightsSource> originClient;
+    private final Function<String, OptionalInt> chunks;
     private final ChunkSourceSelector selector;
 
     EntryWeightsSources(
@@ -27,12 +29,14 @@
             NetworkThreads threads,
             Supplier<Optional<WeightsOrigin>> origin,
             Function<WireAddress, WeightsSource> originClient,
+            Function<String, OptionalInt> chunks,
             long seed) {
         this.roster = Objects.requireNonNull(roster, "roster");
         this.settled = Objects.requireNonNull(settled, "settled");
         this.threads = Objects.requireNonNull(threads, "threads");
         this.origin = Objects.requireNonNull(origin, "origin");
         this.originClient = Objects.requireNonNull(originClient, "originClient");
+        this.chunks = Objects.requireNonNull(chunks, "chunks");
         this.selector = new ChunkSourceSelector(settings.name(), settings.zone(), settings::regionOf, seed);
     }
 
@@ -58,6 +62,11 @@
         return source instanceof ChunkSourceSelector.Source.Origin ? origin() : Optional.empty();
     }
 
+    @Override
+    public OptionalInt chunks(String model) {
+        return chunks.apply(model);
+    }
+
     private Optional<WeightsSource> origin() {
         return origin.get().map(known -> originClient.apply(WireAddress.parse(known.address())));
     }
--- a/galenahinge/src/main/java/org/galenahinge/supply/WeightsCache.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/WeightsCache.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.concurrent.WaitList;
@@ -23,6 +24,11 @@
  * <p>All chunks of a version are read after the first request for one of them, so that an entry that has just started
  * reads nothing that no engine needs.
  *
+ * <p>A manifest is believed if it has as many digests as the operators publish for the model at that time; others are read
+ * again, from another source. The belief outlasts changes of the published number, which concern later versions. It ends
+ * when the same chunk does not match twice, see {@link ManifestDoubt}: another manifest, which has to meet the same
+ * condition, then replaces the digests of the chunks that are not held.
+ *
  * <p>Belongs to one thread.
  */
 public final class WeightsCache {
@@ -32,14 +38,19 @@
     private static final Duration STALLED_AFTER = Duration.ofMillis(600);
     private static final Duration NO_SOURCE_RETRY_DELAY = Duration.ofMillis(100);
     private static final Duration BASE_BACKOFF = Duration.ofMillis(40);
+    private static final int MAXIMUM_DOUBLINGS = 10;
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(150);
 
+    /** A manifest that is refused again and again is not damaged on its way, and reading it costs as much as a chunk. */
+    private static final Duration MAXIMUM_REFUSAL_BACKOFF = Duration.ofSeconds(2);
+
     private final Sources sources;
     private final Timers timers;
     private final EventLog log;
     private final Counter fromOrigin;
     private final Counter fromNodes;
     private final Counter corruptChunks;
+    private final Counter refusedManifests;
     private final Map<String, TreeMap<Long, CachedVersion>> versionsByModel = new HashMap<>();
     private final WaitList<WaitingRequest> waiting;
     private Runnable changed = () -> {};
@@ -63,6 +74,14 @@
          * @return the source, or empty if none is available
          */
         Optional<WeightsSource> chunkSource(String model, int failures);
+
+        /**
+         * Returns the number of chunks that each version of a model has.
+         *
+         * @param model the model
+         * @return the number, or empty if it is not known
+         */
+        OptionalInt chunks(String model);
     }
 
     private record WaitingRequest(WeightsVersion weights, int number, Consumer<Optional<byte[]>> reply) {}
@@ -77,6 +96,7 @@
         private boolean backingOff;
         private int readsInProgress;
         private int failures;
+        private int refusals;
         private long lastProgressNanos;
 
         CachedVersion(WeightsVersion weights, long addedNanos) {
@@ -97,6 +117,7 @@
         this.fromOrigin = metrics.counter("weights.chunks.from_origin");
         this.fromNodes = metrics.counter("weights.chunks.from_nodes");
         this.corruptChunks = metrics.counter("weights.chunks.spoilt");
+        this.refusedManifests = metrics.counter("weights.manifests.refused");
     }
 
     /**
@@ -234,11 +255,11 @@
             return;
         }
         version.manifestRequested = true;
-        source.get().manifest(version.weights).whenComplete((digests, error) -> {
+        manifest(version, source.get()).whenComplete((digests, error) -> {
             version.manifestRequested = false;
             if (error != null) {
                 recordFailure(version, source.get(), "manifest", error);
-                timers.schedule(backoff(version), () -> readManifest(version));
+                timers.schedule(manifestBackoff(version), () -> readManifest(version));
                 return;
             }
             version.failures = 0;
@@ -256,6 +277,22 @@
         });
     }
 
+    /** Reads a manifest; fails if it does not have the digests of all chunks. */
+    private CompletionStage<WeightsDigests> manifest(CachedVersion version, WeightsSource source) {
+        return source.manifest(version.weights).thenApply(digests -> {
+            OptionalInt published = sources.chunks(version.weights.model());
+            if (published.isPresent() && published.getAsInt() == digests.size()) {
+                version.refusals = 0;
+                return digests;
+            }
+            version.refusals++;
+            refusedManifests.inc();
+            String expected = published.isPresent() ? String.valueOf(published.getAsInt()) : "no number of";
+            throw new SupplyException(
+                    "the manifest has " + digests.size() + " digests, published are " + expected + " chunks");
+        });
+    }
+
     /** Reads a manifest that may be damaged from the next source, and takes the digests for which no chunk speaks yet. */
     private void readManifestAgain(CachedVersion version) {
         Optional<WeightsSource> source = sources.manifestSource(version.weights.model(), version.doubt.timesRaised());
@@ -263,7 +300,7 @@
             return;
         }
         version.manifestRequested = true;
-        source.get().manifest(version.weights).whenComplete((digests, error) -> {
+        manifest(version, source.get()).whenComplete((digests, error) -> {
             version.manifestRequested = false;
             if (error != null) {
                 recordFailure(version, source.get(), "manifest", error);
@@ -382,7 +419,15 @@
     }
 
     private static Duration backoff(CachedVersion version) {
-        long millis = BASE_BACKOFF.toMillis() << Math.min(version.failures, 4);
-        return Duration.ofMillis(Math.min(millis, MAXIMUM_BACKOFF.toMillis()));
+        return backoff(version.failures, MAXIMUM_BACKOFF);
+    }
+
+    private static Duration manifestBackoff(CachedVersion version) {
+        return version.refusals == 0 ? backoff(version) : backoff(version.refusals, MAXIMUM_REFUSAL_BACKOFF);
+    }
+
+    private static Duration backoff(int failures, Duration maximum) {
+        long millis = BASE_BACKOFF.toMillis() << Math.min(failures, MAXIMUM_DOUBLINGS);
+        return Duration.ofMillis(Math.min(millis, maximum.toMillis()));
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/gateway/PromptSizePoliciesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/PromptSizePoliciesTest.java
@@ -73,7 +73,7 @@
                 2_048,
                 5,
                 16,
-                64,
+                OptionalInt.of(64),
                 32_768,
                 List.of("m"),
                 OptionalInt.of(949));
--- a/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/gateway/RequestDeadlinesTest.java
@@ -35,7 +35,20 @@
             false);
 
     private static final EngineProfile ENGINE = new EngineProfile(
-            12, 685_000, 7.4, 0.0232, 0.0322, 31.9, 1.18, 2_048, 5, 16, 64, 32_768, List.of("m"), OptionalInt.of(949));
+            12,
+            685_000,
+            7.4,
+            0.0232,
+            0.0322,
+            31.9,
+            1.18,
+            2_048,
+            5,
+            16,
+            OptionalInt.of(64),
+            32_768,
+            List.of("m"),
+            OptionalInt.of(949));
     private static final Route OTHER_ROUTE = new Route(
             "o",
             "h",
--- a/galenahinge/src/test/java/org/galenahinge/node/PromptMixTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/PromptMixTest.java
@@ -84,7 +84,7 @@
                 2_048,
                 5,
                 16,
-                64,
+                OptionalInt.of(64),
                 32_768,
                 List.of("m"),
                 OptionalInt.of(usualPrompt));
--- a/galenahinge/src/test/java/org/galenahinge/node/WeightsServerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/WeightsServerTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.galenahinge.catalog.ApiKeys;
@@ -109,6 +110,11 @@
             return Optional.of(this);
         }
 
+        @Override
+        public OptionalInt chunks(String model) {
+            return OptionalInt.of(1);
+        }
+
         @Override
         public CompletionStage<WeightsDigests> manifest(WeightsVersion weights) {
             String digest = Hashing.sha256().hashBytes(new byte[] {1}).toString();
--- a/galenahinge/src/test/java/org/galenahinge/placement/MixedPromptSizesTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/placement/MixedPromptSizesTest.java
@@ -109,7 +109,7 @@
                 2_048,
                 5,
                 16,
-                64,
+                OptionalInt.of(64),
                 32_768,
                 List.of("m"),
                 usualPromptTokens);
--- a/galenahinge/src/test/java/org/galenahinge/supply/WeightsCacheTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/WeightsCacheTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.galenahinge.concurrent.ManualTimers;
@@ -22,6 +23,7 @@
 
     private final ManualTimers timers = new ManualTimers();
     private final FakeOrigin origin = new FakeOrigin();
+    private OptionalInt published = OptionalInt.of(CHUNKS);
     private final WeightsCache cache = WeightsCache.create(
             new OriginOnly(),
             timers,
@@ -113,6 +115,35 @@
         }
     }
 
+    /** Guards against a manifest that lost or gained digests and is taken for that of the whole version. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, CHUNKS - 1, CHUNKS + 1})
+    void offersNoVersionWhoseManifestHasAnotherNumberOfChunks(int size) {
+        origin.resizedManifests = 3;
+        origin.resizedTo = size;
+        cache.add(TestWeights.weights(1));
+        for (int step = 0; step < 100; step++) {
+            timers.advance(Duration.ofMillis(50));
+            cache.offer("m").ifPresent(offered -> assertThat(offered).isEqualTo(digests(1)));
+        }
+        assertThat(cache.find(TestWeights.weights(1))).contains(digests(1));
+        assertThat(requestChunk(1, CHUNKS - 1)).contains(TestWeights.chunk(1, CHUNKS - 1));
+    }
+
+    /** Guards against a number that is not published and read as any number, and against a belief that it takes back. */
+    @Test
+    void believesAManifestOnceTheNumberOfChunksIsPublished() {
+        published = OptionalInt.empty();
+        cache.add(TestWeights.weights(1));
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(cache.find(TestWeights.weights(1))).isEmpty();
+        published = OptionalInt.of(CHUNKS);
+        timers.advance(Duration.ofSeconds(3));
+        published = OptionalInt.of(CHUNKS + 1);
+        timers.advance(Duration.ofSeconds(3));
+        assertThat(cache.find(TestWeights.weights(1))).contains(digests(1));
+    }
+
     private long offered() {
         return cache.offer("m").orElseThrow().weights().version();
     }
@@ -138,6 +169,11 @@
         public Optional<WeightsSource> chunkSource(String model, int failures) {
             return Optional.of(origin);
         }
+
+        @Override
+        public OptionalInt chunks(String model) {
+            return published;
+        }
     }
 
     private static final class FakeOrigin implements WeightsSource {
@@ -146,6 +182,8 @@
         private boolean unavailable;
         private boolean holdManifest;
         private int damagedManifests;
+        private int resizedManifests;
+        private int resizedTo;
 
         void releaseManifest(long version) {
             heldManifest.complete(digests(version));
@@ -153,6 +191,10 @@
 
         @Override
         public CompletionStage<WeightsDigests> manifest(WeightsVersion weights) {
+            if (resizedManifests > 0) {
+                resizedManifests--;
+                return CompletableFuture.completedFuture(TestWeights.digests(weights.version(), resizedTo));
+            }
             if (damagedManifests > 0) {
                 damagedManifests--;
                 return CompletableFuture.completedFuture(
