--- a/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/Attempt.java
@@ -39,6 +39,9 @@
     private static final double STALL_TIMEOUT_PER_PREDICTED_LATENCY = 2.5;
     private static final double STALL_TIMEOUT_SHARE_OF_REMAINING_TIME = 0.5;
 
+    /** A part that crashes upstreams does so when they begin to write; one that writes on for so long has borne it. */
+    private static final Duration CRASH_TIME = Duration.ofSeconds(1);
+
     private final ForwardedRequest request;
     private final PlacementCandidate candidate;
     private final UpstreamPool pool;
@@ -65,6 +68,8 @@
     private boolean reused;
     private OptionalLong turnLapseNanos = OptionalLong.empty();
     private int events;
+    private long firstEventNanos;
+    private boolean partsProven;
     private int bytesWithoutEvent;
     private long firstByteNanos;
 
@@ -454,7 +459,7 @@
                         : stream.isFollowedBy(event));
         if (!follows) {
             // An upstream that begins anew may crash on the request all the same, after its connection is closed here.
-            recordLostConnection(List.of(identity()));
+            recordLostConnection();
             return Optional.of(
                     "an event does not follow event " + stream.lastId().orElse(""));
         }
@@ -479,9 +484,7 @@
         if (!EventIds.isBare(event)) {
             request.gateway().unstartedAttempts().remove(this);
         }
-        if (events == 0) {
-            recordFirstEvent();
-        }
+        recordSurvival();
         events++;
         candidate.load().recordFirstEvent(this);
         request.stream().recordDelivered(event);
@@ -544,34 +547,36 @@
     }
 
     private void forwardBuffered() {
-        if (isSuccess()) {
-            recordFirstEvent();
-        }
         complete(true);
         request.response().writeComplete(status, headers, buffered);
         request.attemptAnswered(this, status);
     }
 
-    /** The parts of a prompt crash an engine before the first event, or not at all. */
-    private void recordFirstEvent() {
-        request.gateway().crashLedger().recordServed(request.traits().sharedParts(), now());
+    /** A first event proves nothing: the upstream may crash right after it. One long after it clears the parts of the prompt. */
+    private void recordSurvival() {
+        if (events == 0) {
+            firstEventNanos = now();
+        }
+        if (!partsProven && now() - firstEventNanos >= CRASH_TIME.toNanos()) {
+            partsProven = true;
+            request.gateway().crashLedger().recordServed(request.traits().sharedParts(), now());
+        }
     }
 
     /** A response that ends with its connection looks complete also where its upstream crashed. */
     private void recordComplete() {
+        List<RequestTrait> served = isSuccess() ? request.traits().all() : List.of(identity());
         if (endsWithConnection) {
-            recordLostConnection(List.of(identity()));
+            request.gateway().crashDetector().connectionEnded(candidate.upstream(), pool, served);
         } else {
-            request.gateway().crashLedger().recordServed(List.of(identity()), now());
+            request.gateway().crashLedger().recordServed(served, now());
         }
     }
 
     private void recordLostConnection() {
-        recordLostConnection(events == 0 ? request.traits().all() : List.of(identity()));
-    }
-
-    private void recordLostConnection(List<RequestTrait> traits) {
-        request.gateway().crashDetector().connectionLost(candidate.upstream(), pool, traits);
+        List<RequestTrait> suspects =
+                partsProven ? List.of(identity()) : request.traits().all();
+        request.gateway().crashDetector().connectionLost(candidate.upstream(), pool, suspects);
     }
 
     private void abort(String detail) {
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CrashDetector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.galenahinge.concurrent.Timers;
 import org.galenahinge.http.HttpConnection;
@@ -20,7 +21,8 @@
 
 /**
  * Finds out whether an upstream has crashed after a connection to it was lost: it has if it accepts no new connection.
- * Records the traits of the requests that were there. Used by the gateway's thread only.
+ * Records the traits of the requests that were there; those of responses that were complete, but for the end of their
+ * connections, are recorded as served if the upstream runs. Used by the gateway's thread only.
  */
 final class CrashDetector {
     /** The connections of one crash are lost one after the other within this time. */
@@ -47,6 +49,7 @@
         private final Upstream upstream;
         private final long startedNanos;
         private final Set<RequestTrait> traits = new LinkedHashSet<>();
+        private final Set<RequestTrait> servedIfRunning = new LinkedHashSet<>();
         private boolean crashed;
 
         Watch(Upstream upstream, long startedNanos) {
@@ -63,10 +66,26 @@
      * @param traits the traits of the request that may have crashed it
      */
     void connectionLost(Upstream upstream, UpstreamPool pool, List<RequestTrait> traits) {
+        watch(upstream, pool, traits);
+    }
+
+    /**
+     * Records that a response has ended with its connection, which looks the same where the upstream crashed.
+     *
+     * @param upstream the upstream
+     * @param pool the connections to it
+     * @param traits the traits of the request, which are served if the upstream runs
+     */
+    void connectionEnded(Upstream upstream, UpstreamPool pool, List<RequestTrait> traits) {
+        watch(upstream, pool, traits).ifPresent(watch -> watch.servedIfRunning.addAll(traits));
+    }
+
+    /** Watches an upstream; returns nothing if there is nothing to find out, or if too many are watched. */
+    private Optional<Watch> watch(Upstream upstream, UpstreamPool pool, List<RequestTrait> traits) {
         long now = timers.nanoTime();
         watches.values().removeIf(watch -> now - watch.startedNanos >= WATCH_TIME.toNanos());
         if (traits.isEmpty() || (!watches.containsKey(upstream.id()) && watches.size() >= MAXIMUM_WATCHED)) {
-            return;
+            return Optional.empty();
         }
         Watch watch = watches.get(upstream.id());
         if (watch == null || !watch.upstream.isSameIncarnation(upstream)) {
@@ -78,6 +97,7 @@
         if (watch.crashed) {
             record(watch);
         }
+        return Optional.of(watch);
     }
 
     /** Opens a connection. One that is closed again at once was accepted by an upstream that was about to end. */
@@ -103,6 +123,7 @@
         }
         pool.release(connection);
         watches.remove(watch.upstream.id(), watch);
+        ledger.recordServed(watch.servedIfRunning, timers.nanoTime());
     }
 
     private void record(Watch watch) {
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/Crash.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/Crash.java
@@ -10,8 +10,8 @@
 import org.galenahinge.quarantine.RequestTrait.Kind;
 
 /**
- * The end of one incarnation of an upstream, with the traits of the requests that were there: of those without an event
- * yet the parts of their prompts, of all others the requests as wholes.
+ * The end of one incarnation of an upstream, with the traits of the requests that were there without a complete response: the
+ * requests as wholes, and the parts of the prompts that the upstream has not borne for long.
  * Merging is commutative, associative and idempotent, so that nodes may exchange crashes in any order and repeatedly.
  *
  * @param upstream identifies the incarnation of the upstream
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Records that a request was served, so that its traits crash no upstream: the parts of its prompt once it has brought an
-     * event, the request as a whole once its response is complete.
+     * Records that a request was served, so that its traits crash no upstream: the parts of its prompt once its upstream has
+     * written for longer than a crash takes, the request as a whole once its response is complete.
      *
      * @param traits the traits
      * @param nowNanos the time, in nanoseconds
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -12,14 +12,12 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.quarantine.Crash;
 import org.galenahinge.quarantine.CrashLedger;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
 import org.galenahinge.quarantine.RequestTrait;
-import org.galenahinge.quarantine.RequestTrait.Kind;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -58,23 +56,28 @@
      */
     @ParameterizedTest
     @CsvSource({
-        // entries, engines, requests per second, of which crash engines, engines that end for other reasons per second
-        "7, 10, 120, 2.5, 0, 1",
-        "8, 10, 80, 2.5, 0, 2",
-        "8, 10, 80, 0.4, 0.2, 3",
-        "20, 13, 150, 4, 0.1, 4",
-        "49, 97, 600, 6, 0.5, 5",
-        "49, 97, 600, 1, 1, 6",
-        "150, 300, 600, 8, 0, 7",
+        // entries, engines, requests per second, of which crash engines, after event, other ends per second, seed
+        "7, 10, 120, 2.5, false, 0, 1",
+        "8, 10, 80, 2.5, false, 0, 2",
+        "8, 10, 80, 0.4, false, 0.2, 3",
+        "20, 13, 150, 4, false, 0.1, 4",
+        "49, 97, 600, 6, false, 0.5, 5",
+        "49, 97, 600, 1, false, 1, 6",
+        "150, 300, 600, 8, false, 0, 7",
+        "7, 10, 120, 2.5, true, 0, 8",
+        "8, 10, 80, 0.4, true, 0.2, 9",
+        "49, 97, 600, 6, true, 0.5, 10",
     })
     void findsThePartThatCrashesEngines(
             int entryCount,
             int engineCount,
             double perSecond,
             double crashingPerSecond,
+            boolean afterEvent,
             double endsPerSecond,
             long seed) {
         start(entryCount, engineCount, seed);
+        crashesAfterEvent = afterEvent;
         engineEndsPerSecond = endsPerSecond;
         runDisturbed(perSecond, crashingPerSecond, Set.of(CRASHING));
         assertCauseIsFound();
@@ -187,10 +190,6 @@
         return traits.contains(CRASHING) || traits.contains(CRASHING_REQUEST);
     }
 
-    private static Set<RequestTrait> ofKind(Kind kind, Set<RequestTrait> traits) {
-        return traits.stream().filter(trait -> trait.kind() == kind).collect(Collectors.toSet());
-    }
-
     private Entry anyEntry() {
         return entries.get(random.nextInt(entries.size()));
     }
@@ -210,8 +209,7 @@
 
     private final class Engine {
         private final int number;
-        private final Set<Running> withoutEvent = new HashSet<>();
-        private final Set<Running> withEvent = new HashSet<>();
+        private final Set<Running> running = new HashSet<>();
         private int incarnation;
         private boolean up = true;
 
@@ -219,35 +217,31 @@
             this.number = number;
         }
 
-        void run(Running running) {
-            withoutEvent.add(running);
-            later(running, 400, () -> {
-                if (crashes(running.traits()) && !crashesAfterEvent) {
+        void run(Running one) {
+            running.add(one);
+            later(one, 400, () -> {
+                if (crashes(one.traits()) && !crashesAfterEvent) {
                     end(1);
                     return;
                 }
-                withoutEvent.remove(running);
-                withEvent.add(running);
-                running.entry().ledger.recordServed(ofKind(Kind.PROMPT_PART, running.traits()), timers.nanoTime());
-                later(running, 800, () -> complete(running));
+                later(one, 800, () -> complete(one));
             });
         }
 
-        private void complete(Running running) {
-            if (crashes(running.traits())) {
+        private void complete(Running one) {
+            if (crashes(one.traits())) {
                 end(1);
                 return;
             }
-            withEvent.remove(running);
-            running.entry().ledger.recordServed(ofKind(Kind.WHOLE_REQUEST, running.traits()), timers.nanoTime());
+            running.remove(one);
+            one.entry().ledger.recordServed(one.traits(), timers.nanoTime());
         }
 
         /** Runs a step of a request after some time, unless its engine has ended meanwhile. */
-        private void later(Running running, int maximumMillis, Runnable step) {
+        private void later(Running one, int maximumMillis, Runnable step) {
             int startedIn = incarnation;
             timers.schedule(Duration.ofMillis(80 + random.nextInt(maximumMillis)), () -> {
-                boolean here = withoutEvent.contains(running) || withEvent.contains(running);
-                if (startedIn == incarnation && here) {
+                if (startedIn == incarnation && running.contains(one)) {
                     step.run();
                 }
             });
@@ -263,19 +257,15 @@
             }
             up = false;
             Map<Entry, Set<RequestTrait>> suspects = new HashMap<>();
-            withoutEvent.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
-                    .addAll(running.traits()));
-            withEvent.forEach(running -> suspects.computeIfAbsent(running.entry(), entry -> new HashSet<>())
-                    .addAll(ofKind(Kind.WHOLE_REQUEST, running.traits())));
-            List<Running> lost = new ArrayList<>(withoutEvent);
-            lost.addAll(withEvent);
-            withoutEvent.clear();
-            withEvent.clear();
+            running.forEach(one -> suspects.computeIfAbsent(one.entry(), entry -> new HashSet<>())
+                    .addAll(one.traits()));
+            List<Running> lost = new ArrayList<>(running);
+            running.clear();
             long id = number * 1_000L + incarnation;
             incarnation++;
             suspects.forEach((entry, traits) ->
                     entry.ledger.add(new AgedCrash(new Crash(id, traits, Set.of()), Duration.ZERO), timers.nanoTime()));
-            lost.forEach(running -> running.entry().request(running.traits(), running.attemptsLeft() - 1));
+            lost.forEach(one -> one.entry().request(one.traits(), one.attemptsLeft() - 1));
             timers.schedule(RESTART_TIME, () -> up = true);
         }
     }
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/UpstreamStandIn.java
@@ -23,6 +23,7 @@
  */
 public final class UpstreamStandIn implements AutoCloseable {
     private static final int STREAM_EVENTS = 6;
+    private static final int EVENTS_BEFORE_CRASH = 2;
     private static final int STALLED_BYTES = 300;
     private static final Duration STALLED_BYTE_INTERVAL = Duration.ofMillis(100);
     private static final int ENDLESS_BODY_PART_BYTES = 16 << 10;
@@ -142,6 +143,18 @@
      * @param part the id of the part
      */
     public void crashOn(String part) {
+        crashOn(part, CrashPoint.BEFORE_RESPONSE);
+    }
+
+    /**
+     * Makes it crash when it streams a response to a request whose prompt contains a part: it closes its connections in the
+     * middle of an event, and accepts no others.
+     *
+     * @param part the id of the part
+     * @param point when it crashes: in the middle of the first event, or after some events
+     */
+    public void crashOn(String part, CrashPoint point) {
+        crashPoint = point;
         crashingPart = Optional.of(part);
     }
 
@@ -413,7 +426,11 @@
         String prompt = exchange.getRequestHeaders().getFirst("Prompt-Prefix");
         if (prompt != null
                 && crashingPart.filter(part -> promptContains(prompt, part)).isPresent()) {
-            body.write("id: 1\ndata: ha".getBytes(StandardCharsets.UTF_8));
+            int eventsBefore = crashPoint == CrashPoint.WITHIN_RESPONSE ? EVENTS_BEFORE_CRASH : 0;
+            for (int event = first; event < first + eventsBefore; event++) {
+                writeEvent(body, event);
+            }
+            body.write(("id: " + (first + eventsBefore) + "\ndata: ha").getBytes(StandardCharsets.UTF_8));
             body.flush();
             crashed = true;
             server.close();
@@ -428,11 +445,15 @@
             if (fault == Fault.STALL_STREAM && event == STREAM_EVENTS / 2) {
                 stall(body);
             }
-            body.write(("id: " + event + "\ndata: token" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
-            body.flush();
+            writeEvent(body, event);
         }
     }
 
+    private static void writeEvent(OutputStream body, int event) throws IOException {
+        body.write(("id: " + event + "\ndata: token" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+        body.flush();
+    }
+
     private static boolean promptContains(String prompt, String part) {
         return Stream.of(prompt.split(",")).anyMatch(entry -> entry.startsWith(part + ":"));
     }
