--- a/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/ForwardedRequest.java
@@ -404,7 +404,6 @@
             return;
         }
         triedUpstreams.add(id);
-        onTrial = false;
         OptionalLong exactVersion = request.metadata()
                 .prompt()
                 .map(prompt -> exactVersion(prompt, candidate))
@@ -436,6 +435,10 @@
             gateway.metrics().retry();
         }
         attempts++;
+        if (onTrial) {
+            onTrial = false;
+            requestLog.sentOnTrial();
+        }
         return true;
     }
 
@@ -542,6 +545,9 @@
 
     private void finish(String outcome) {
         ended = true;
+        if (onTrial) {
+            gateway.crashLedger().trialNotSent(traits.all(), gateway.timers().nanoTime());
+        }
         timeoutTimer.ifPresent(Timer::cancel);
         gateway.stopAwaitingConfiguration(this);
         gateway.metrics().ended(outcome);
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestLog.java
@@ -50,6 +50,11 @@
                 .write();
     }
 
+    /** The request has a cause of crashes, and is sent to find out whether it still crashes upstreams. */
+    void sentOnTrial() {
+        line(Category.BELIEF, "quarantine_trial").with("parts", parts()).write();
+    }
+
     void answered(Attempt done, int status, int attempts) {
         line(Category.REQUEST, "answered")
                 .with("upstream", done.upstreamId())
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,6 +18,12 @@
  * The crashes of upstreams that a node has seen or heard of, and the traits of requests that cause them. A request with such
  * a trait is in quarantine: it must not reach another upstream.
  *
+ * <p>The belief that a trait crashes upstreams begins with the crashes that it explains. It ends when the trait is served, at
+ * any node, in particular by one of a few {@link QuarantineTrials trials}, or an hour after the crashes. It outlasts everything else: the return
+ * of the upstreams, changes of the configuration, and the restart of single nodes, which are told by the others. A trait that was served
+ * shortly before a crash is not suspected of it, so that what all requests have in common explains nothing when all upstreams
+ * end at once.
+ *
  * <p>Its size does not depend on the number of requests: it holds a bounded number of crashes, and when a bounded number
  * of traits was last served. Not thread-safe.
  */
@@ -27,26 +32,26 @@
     public static final int MAXIMUM_CRASHES = 64;
 
     private static final int MAXIMUM_SERVED_TRAITS = 1_024;
-    private static final int MAXIMUM_TRIED_CAUSES = 64;
 
     /** Until a crash counts, requests that were there may be served by another upstream, which clears their traits. */
     private static final Duration SETTLE_TIME = Duration.ofMillis(700);
 
-    private static final Duration RETENTION = Duration.ofHours(1);
-    private static final Duration TRIAL_INTERVAL = Duration.ofSeconds(10);
+    /**
+     * How long before a crash a trait may have been served to be no suspect of it. What crashes upstreams crashes each one, so
+     * that a trait that was served moments ago was only there at the time.
+     */
+    private static final Duration SERVED_BEFORE = Duration.ofSeconds(3);
 
-    /** After these, further trials of a cause would crash as many engines as make it certain. */
-    private static final int MAXIMUM_TRIALS = CrashAttribution.CERTAIN_CRASHES - CrashAttribution.MINIMUM_CRASHES;
+    private static final Duration RETENTION = Duration.ofHours(1);
 
-    private final Predicate<RequestTrait> triedHere;
+    private final QuarantineTrials trials;
     private final Map<Long, Entry> crashes = new LinkedHashMap<>();
     private final Map<Kind, Map<RequestTrait, Long>> servedNanos = servedByKind();
-    private final Map<Set<RequestTrait>, Trials> trials = boundedMap(MAXIMUM_TRIED_CAUSES);
     private List<Cause> causes = List.of();
     private Optional<Long> nextChangeNanos = Optional.empty();
 
     private CrashLedger(Predicate<RequestTrait> triedHere) {
-        this.triedHere = triedHere;
+        this.trials = QuarantineTrials.create(triedHere);
     }
 
     /**
@@ -62,8 +67,6 @@
     /** A crash, when it happened and when this node last learnt something new of it, both in nanoseconds. */
     private record Entry(Crash crash, long crashNanos, long changedNanos) {}
 
-    private record Trials(int count, long startedNanos) {}
-
     /**
      * A crash as one node tells another.
      *
@@ -115,6 +118,7 @@
         for (RequestTrait trait : traits) {
             servedNanos.get(trait.kind()).put(trait, nowNanos);
             clear(trait, nowNanos);
+            trials.recordServed(trait);
         }
     }
 
@@ -122,7 +126,7 @@
     public enum Decision {
         /** It contains no cause of crashes. */
         ALLOWED,
-        /** It contains a doubtful cause, and this node has chosen it to find out. */
+        /** It contains a cause, and this node has chosen it to find out whether it still crashes upstreams. */
         TRIAL,
         /** It must not be sent. */
         QUARANTINED
@@ -145,10 +149,30 @@
         if (contained.isEmpty()) {
             return Decision.ALLOWED;
         }
-        boolean mayTry = contained.size() == 1 && startTrial(contained.get(0), nowNanos);
+        boolean mayTry = contained.size() == 1 && beginTrial(contained.get(0), nowNanos);
         return mayTry ? Decision.TRIAL : Decision.QUARANTINED;
     }
 
+    /**
+     * Takes back a trial whose request was sent to no upstream, so that another one may take its place at once.
+     *
+     * @param traits the traits of the request
+     * @param nowNanos the time, in nanoseconds
+     */
+    public void trialNotSent(Collection<RequestTrait> traits, long nowNanos) {
+        causes(nowNanos).stream()
+                .filter(cause -> traits.containsAll(cause.traits()))
+                .forEach(trials::takeBack);
+    }
+
+    private boolean beginTrial(Cause cause, long nowNanos) {
+        List<Long> crashNanos = crashes.values().stream()
+                .filter(entry -> entry.crash().remaining().containsAll(cause.traits()))
+                .map(Entry::crashNanos)
+                .toList();
+        return trials.begin(cause, crashNanos, nowNanos);
+    }
+
     /**
      * Returns the traits that are in quarantine.
      *
@@ -219,7 +243,7 @@
         Crash cleared = crash;
         for (RequestTrait trait : crash.remaining()) {
             Long served = servedNanos.get(trait.kind()).get(trait);
-            if (served != null && served - crashNanos > 0) {
+            if (served != null && served - crashNanos > -SERVED_BEFORE.toNanos()) {
                 cleared = cleared.clear(trait);
             }
         }
@@ -275,24 +299,6 @@
         return causes;
     }
 
-    /** One node at a time tries one request with traits that are not certain to crash upstreams, a few times at most. */
-    private boolean startTrial(Cause cause, long nowNanos) {
-        Optional<RequestTrait> first = cause.traits().stream().min(Comparator.comparingLong(RequestTrait::id));
-        if (cause.isCertain() || first.filter(triedHere).isEmpty()) {
-            return false;
-        }
-        Trials before = trials.get(cause.traits());
-        if (before == null) {
-            trials.put(cause.traits(), new Trials(0, nowNanos));
-            return false;
-        }
-        if (before.count() >= MAXIMUM_TRIALS || nowNanos - before.startedNanos() < TRIAL_INTERVAL.toNanos()) {
-            return false;
-        }
-        trials.put(cause.traits(), new Trials(before.count() + 1, nowNanos));
-        return true;
-    }
-
     /** Requests as wholes are far more numerous than parts and must not displace them. */
     private static Map<Kind, Map<RequestTrait, Long>> servedByKind() {
         Map<Kind, Map<RequestTrait, Long>> maps = new EnumMap<>(Kind.class);
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -26,7 +26,10 @@
     private static final EventLog LOG = EventLog.to("test", OutputStream.nullOutputStream(), new MetricRegistry());
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration RESTART_TIME = Duration.ofSeconds(3);
+    private static final Duration TIME_BETWEEN_ENDS = Duration.ofSeconds(8);
+    private static final Duration RECOVERY_TIME = Duration.ofSeconds(12);
     private static final RequestTrait CRASHING = RequestTrait.ofPart(0xBAD);
+    private static final RequestTrait SHARED = RequestTrait.ofPart(0x5C1E);
     private static final RequestTrait CRASHING_REQUEST = RequestTrait.ofRequest(-1);
     private static final int CRASHES_OF_PART_UNTIL_KNOWN = 5;
     private static final int CRASHES_OF_REQUEST_UNTIL_KNOWN = 3;
@@ -41,6 +44,7 @@
     private long requests;
     private long identities;
     private int crashes;
+    private Set<RequestTrait> shared = Set.of();
     private int crashesUntilKnown = CRASHES_OF_PART_UNTIL_KNOWN;
     private boolean crashesAfterEvent;
     private long knownCrashNanos;
@@ -128,6 +132,47 @@
         assertThat((double) soundRejected / sound).isLessThan(0.001);
     }
 
+    /**
+     * Guards against a part that all requests share, and that stays in quarantine after all engines have ended at once, while
+     * a part that does crash engines reaches no more of them than it may.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // entries, engines, requests per second, milliseconds before the end, ends in a row, crashing per second, seed
+        "3, 8, 40, 8000, 1, 0, 1",
+        "3, 8, 200, 150, 1, 0, 2",
+        "8, 10, 80, 5000, 3, 0, 3",
+        "8, 10, 400, 150, 3, 0, 4",
+        "49, 97, 600, 5000, 2, 0, 5",
+        "49, 20, 900, 150, 1, 0, 6",
+        "8, 10, 80, 5000, 1, 0.8, 7",
+        "8, 10, 400, 150, 1, 0.8, 8",
+        "20, 28, 200, 5000, 3, 2, 9",
+    })
+    void servesAPartOfAllRequestsAfterAllEnginesHaveEnded(
+            int entryCount,
+            int engineCount,
+            double perSecond,
+            long millisBefore,
+            int ends,
+            double crashingPerSecond,
+            long seed) {
+        start(entryCount, engineCount, seed);
+        shared = Set.of(SHARED);
+        Set<RequestTrait> crashing = Set.of(SHARED, CRASHING);
+        run(Duration.ofMillis(millisBefore), perSecond, 0, Set.of());
+        for (int end = 0; end < ends; end++) {
+            engines.forEach(engine -> engine.end(0));
+            run(TIME_BETWEEN_ENDS, perSecond, crashingPerSecond, crashing);
+        }
+        run(RESTART_TIME.plus(RECOVERY_TIME).minus(TIME_BETWEEN_ENDS), perSecond, crashingPerSecond, crashing);
+        sound = 0;
+        soundRejected = 0;
+        run(Duration.ofSeconds(40), perSecond, crashingPerSecond, crashing);
+        assertThat((double) soundRejected / sound).isLessThan(0.01);
+        assertThat(reachedOnceKnown).isLessThanOrEqualTo(MAXIMUM_REQUESTS_ONCE_KNOWN);
+    }
+
     private void runDisturbed(double perSecond, double crashingPerSecond, Set<RequestTrait> crashing) {
         for (int second = 0; second < 40; second++) {
             disturb(second);
@@ -179,6 +224,7 @@
     /** A request of its own with a common part, unless it is the one that its caller repeats. */
     private Set<RequestTrait> traits(Set<RequestTrait> crashing) {
         Set<RequestTrait> traits = new HashSet<>(crashing);
+        traits.addAll(shared);
         if (!crashing.contains(CRASHING_REQUEST)) {
             traits.add(commonPart());
             traits.add(RequestTrait.ofRequest(identities++));
@@ -297,6 +343,9 @@
                 count(rejected);
             }
             List<Engine> running = engines.stream().filter(engine -> engine.up).toList();
+            if (!rejected && running.isEmpty()) {
+                ledger.trialNotSent(traits, timers.nanoTime());
+            }
             if (rejected || running.isEmpty()) {
                 return;
             }
