--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerConnection.java
@@ -47,6 +47,7 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long arrivedNanos;
     private long waitingSinceNanos;
+    private long idleSinceNanos;
     private boolean reading;
     private boolean processing;
     private boolean heldBack;
@@ -71,6 +72,11 @@
                 () -> reject(Rejection.of(408, "request_timeout", "the request head took too long")));
     }
 
+    /** Returns whether nothing of a request has arrived that has not been responded to. */
+    boolean awaitsRequest() {
+        return phase() == ConnectionPhase.WAITING;
+    }
+
     /** Closes the connection if it waits for a request that does not come. */
     void closeIfIdle() {
         long waitedNanos = gateway.timers().nanoTime() - waitingSinceNanos;
@@ -259,7 +265,7 @@
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > limits.get().maximumBodyBytes()) {
-            reject(Rejection.of(413, "too_large", "the body is too large"));
+            rejectTooLarge(413, "the body is too large");
             return;
         }
         request = head;
@@ -275,7 +281,7 @@
     private void processContent(HttpContent content) {
         ByteBuf bytes = content.content();
         if (body.size() + (long) bytes.readableBytes() > limits.get().maximumBodyBytes()) {
-            reject(Rejection.of(413, "too_large", "the body is too large"));
+            rejectTooLarge(413, "the body is too large");
             return;
         }
         byte[] copy = new byte[bytes.readableBytes()];
@@ -309,12 +315,17 @@
 
     private void rejectMalformed(Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            reject(Rejection.of(431, "too_large", "the request head is too large"));
+            rejectTooLarge(431, "the request head is too large");
         } else {
             reject(Rejection.of(400, "malformed", "the request is malformed"));
         }
     }
 
+    private void rejectTooLarge(int status, String detail) {
+        Rejection denial = Rejection.of(status, "too_large", detail);
+        reject(RequestChecks.denial(gateway.catalog(), gateway.isConfigurationConfirmed(), denial));
+    }
+
     /** Rejects a request without forwarding it and closes the connection: what follows on it cannot be trusted. */
     private void reject(Rejection rejection) {
         if (closing) {
@@ -370,7 +381,25 @@
     }
 
     private void startIdleTimer() {
-        setTimer(limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN), this::idleTimeReached);
+        idleSinceNanos = gateway.timers().nanoTime();
+        awaitIdleTime(idleTimeout());
+    }
+
+    /** Waits for the end of the idle time, which a later configuration may prolong. */
+    private void awaitIdleTime(Duration after) {
+        setTimer(after, () -> {
+            Duration idle = Duration.ofNanos(gateway.timers().nanoTime() - idleSinceNanos);
+            Duration remaining = idleTimeout().minus(idle);
+            if (remaining.isNegative() || remaining.isZero()) {
+                idleTimeReached();
+            } else {
+                awaitIdleTime(remaining);
+            }
+        });
+    }
+
+    private Duration idleTimeout() {
+        return limits.get().idleTimeout().plus(IDLE_TIMEOUT_MARGIN);
     }
 
     /** A caller that does not take its responses in the time of an idle connection is not waited for. */
--- a/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/CallerServer.java
@@ -2,14 +2,11 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
@@ -25,8 +22,6 @@
 /** Listens for connections of callers. Used by the gateway's thread only. */
 public final class CallerServer {
     private static final int BACKLOG = 1_024;
-    private static final int MAXIMUM_REQUEST_LINE_BYTES = 8 << 10;
-    private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
     private static final int LOW_WATER_MARK_BYTES = 32 << 10;
     private static final int HIGH_WATER_MARK_BYTES = 128 << 10;
 
@@ -132,33 +127,12 @@
     }
 
     private void accept(SocketChannel channel) {
-        CallerLimits limits = limits();
         CallerConnection connection = new CallerConnection(gateway, this, this::limits);
-        channel.pipeline()
-                .addLast(new ArrivalObserver(connection))
-                .addLast(new HttpServerCodec(
-                        Math.min(MAXIMUM_REQUEST_LINE_BYTES, limits.maximumHeaderBytes()),
-                        limits.maximumHeaderBytes(),
-                        MAXIMUM_CHUNK_BYTES))
-                .addLast(connection);
+        RequestArrival arrival = new RequestArrival(connection, () -> limits().maximumHeaderBytes());
+        channel.pipeline().addLast(arrival).addLast(arrival.newCodec()).addLast(connection);
     }
 
     private CallerLimits limits() {
         return gateway.catalog().map(Catalog::limits).orElse(CallerLimits.INITIAL);
     }
-
-    /** Reports received bytes before they are decoded, so that the request's time counts from its first byte. */
-    private static final class ArrivalObserver extends ChannelInboundHandlerAdapter {
-        private final CallerConnection connection;
-
-        ArrivalObserver(CallerConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-            connection.bytesReceived();
-            super.channelRead(context, message);
-        }
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
+++ b/galenahinge/src/main/java/org/galenahinge/gateway/RequestChecks.java
@@ -31,31 +31,46 @@
      */
     static Result check(CallerRequest request, Optional<Catalog> catalog, boolean confirmed, double random) {
         if (catalog.isEmpty()) {
-            return rejected(
-                    Rejection.notRun("unconfigured", "no configuration is known yet", UNCONFIGURED_RETRY_AFTER));
+            return rejected(unconfigured());
         }
         String host = request.headers().get("Host", "");
         Optional<Route> route = catalog.get().routes().find(host, request.path());
         if (route.isEmpty()) {
-            return denied(confirmed, Rejection.of(404, "no_route", "no route matches this host and path"));
+            return rejected(
+                    denial(catalog, confirmed, Rejection.of(404, "no_route", "no route matches this host and path")));
         }
         Optional<Organisation> organisation =
                 request.metadata().apiKey().flatMap(catalog.get().apiKeys()::organisation);
         boolean needsApiKey =
                 catalog.get().apiKeys().areRequired() && !route.get().allowsAnonymous();
         if (needsApiKey && organisation.isEmpty()) {
-            return denied(confirmed, Rejection.of(401, "unknown_key", "the API key is not known"));
+            return rejected(denial(catalog, confirmed, Rejection.of(401, "unknown_key", "the API key is not known")));
         }
         return new Result.Admitted(AdmittedRequest.of(route.get(), route.get().pickService(random), organisation));
     }
 
-    /** A configuration that may not be the newest can tell what it allows, but not that nothing newer allows more. */
-    private static Result denied(boolean confirmed, Rejection rejection) {
+    /**
+     * Returns how a request is rejected that the configuration does not allow. One that may not be the newest can tell what it
+     * allows, but not that nothing newer allows more.
+     *
+     * @param catalog the configuration, empty until the first one has been read
+     * @param confirmed whether the configuration is known to be the newest one that must be in force
+     * @param denial the rejection by a configuration that is known to be the newest
+     * @return this rejection, or one that says that the request has not run
+     */
+    static Rejection denial(Optional<Catalog> catalog, boolean confirmed, Rejection denial) {
+        if (catalog.isEmpty()) {
+            return unconfigured();
+        }
         if (confirmed) {
-            return rejected(rejection);
+            return denial;
         }
-        String detail = "it is not known whether this is the newest configuration, in which " + rejection.detail();
-        return rejected(Rejection.notRun(rejection.reason() + "_unconfirmed", detail, UNCONFIRMED_RETRY_AFTER));
+        String detail = "it is not known whether this is the newest configuration, in which " + denial.detail();
+        return Rejection.notRun(denial.reason() + "_unconfirmed", detail, UNCONFIRMED_RETRY_AFTER);
+    }
+
+    private static Rejection unconfigured() {
+        return Rejection.notRun("unconfigured", "no configuration is known yet", UNCONFIGURED_RETRY_AFTER);
     }
 
     private static Result rejected(Rejection rejection) {
