Five crashes at several moments count without waiting to be refuted

Cause: each crash waits 0.7 s for a request that refutes it, also where five crashes one after the other leave no doubt.

Change: a cause of five crashes at four moments or more counts at once. Crashes that follow each other within 100 ms are one moment, as in a loss of power, and wait as before. CrashMoments holds what QuarantineTrials already asked.

Evidence: CrashLedgerTest.countsCrashesOfSeveralMomentsAtOnce, whose first case fails without the change.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -166,11 +166,15 @@
     }
 
     private boolean beginTrial(Cause cause, long nowNanos) {
-        List<Long> crashNanos = crashes.values().stream()
+        return trials.begin(cause, crashNanos(cause), nowNanos);
+    }
+
+    /** Returns when the crashes were that a cause explains. */
+    private List<Long> crashNanos(Cause cause) {
+        return crashes.values().stream()
                 .filter(entry -> entry.crash().remaining().containsAll(cause.traits()))
                 .map(Entry::crashNanos)
                 .toList();
-        return trials.begin(cause, crashNanos, nowNanos);
     }
 
     /**
@@ -294,11 +298,24 @@
                             .orElse(settledNanos));
                 }
             }
-            causes = CrashAttribution.causes(settled);
+            causes = findCauses(settled);
         }
         return causes;
     }
 
+    /** Finds causes among crashes that have settled. What certainly crashes upstreams again and again does not wait for that. */
+    private List<Cause> findCauses(List<Crash> settled) {
+        List<Cause> found = new ArrayList<>(CrashAttribution.causes(settled));
+        List<Crash> all = crashes.values().stream().map(Entry::crash).toList();
+        CrashAttribution.causes(all).stream()
+                .filter(Cause::isCertain)
+                .filter(cause -> CrashMoments.areRepeated(crashNanos(cause)))
+                .filter(cause ->
+                        found.stream().noneMatch(known -> known.traits().equals(cause.traits())))
+                .forEach(found::add);
+        return List.copyOf(found);
+    }
+
     /** Requests as wholes are far more numerous than parts and must not displace them. */
     private static Map<Kind, Map<RequestTrait, Long>> servedByKind() {
         Map<Kind, Map<RequestTrait, Long>> maps = new EnumMap<>(Kind.class);
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/QuarantineTrials.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/QuarantineTrials.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.IntStream;
 import org.galenahinge.quarantine.CrashAttribution.Cause;
 
 /**
@@ -31,11 +30,6 @@
     private static final Duration INTERVAL = Duration.ofSeconds(10);
     private static final Duration INTERVAL_IF_REPEATED = Duration.ofMinutes(1);
 
-    /** Crashes that follow each other within this time may be one event that nodes saw one after the other. */
-    private static final Duration MOMENT = Duration.ofMillis(100);
-
-    private static final int REPEATED_MOMENTS = 4;
-
     /** Requests that were on their way when the cause became certain have reached their upstreams after this time. */
     private static final Duration SPREAD_TIME = Duration.ofSeconds(3);
 
@@ -75,13 +69,13 @@
         if (first.filter(triedHere).isEmpty()) {
             return false;
         }
-        List<Long> moments = moments(crashNanos);
         Trials before = trials.getOrDefault(cause.traits(), Trials.NONE);
         if (Math.max(before.count(), trialsSeen(cause, crashNanos)) >= MAXIMUM_TRIALS) {
             return false;
         }
-        long interval = (moments.size() >= REPEATED_MOMENTS ? INTERVAL_IF_REPEATED : INTERVAL).toNanos();
-        boolean isDue = nowNanos - moments.get(moments.size() - 1) >= interval
+        long interval = (CrashMoments.areRepeated(crashNanos) ? INTERVAL_IF_REPEATED : INTERVAL).toNanos();
+        List<Long> ordered = CrashMoments.ordered(crashNanos);
+        boolean isDue = nowNanos - ordered.get(ordered.size() - 1) >= interval
                 && (before.lastNanos().isEmpty()
                         || nowNanos - before.lastNanos().getAsLong() >= interval);
         if (isDue) {
@@ -108,26 +102,11 @@
         if (!cause.isCertain()) {
             return 0;
         }
-        List<Long> ordered = ordered(crashNanos);
+        List<Long> ordered = CrashMoments.ordered(crashNanos);
         long certainNanos = ordered.get(CrashAttribution.CERTAIN_CRASHES - 1);
         List<Long> late = ordered.stream()
                 .filter(crash -> crash - certainNanos > SPREAD_TIME.toNanos())
                 .toList();
-        return moments(late).size();
-    }
-
-    /** Returns the first crash of each moment, oldest first. */
-    private static List<Long> moments(List<Long> crashNanos) {
-        List<Long> ordered = ordered(crashNanos);
-        return IntStream.range(0, ordered.size())
-                .filter(index -> index == 0 || ordered.get(index) - ordered.get(index - 1) > MOMENT.toNanos())
-                .mapToObj(ordered::get)
-                .toList();
-    }
-
-    private static List<Long> ordered(List<Long> crashNanos) {
-        return crashNanos.stream()
-                .sorted((first, second) -> Long.signum(first - second))
-                .toList();
+        return CrashMoments.of(late).size();
     }
 }
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
@@ -86,6 +86,17 @@
         assertThat(isQuarantined(List.of(SOUND))).isEqualTo(expected);
     }
 
+    /** Guards against further engines that end while five crashes, one after the other, still wait to be refuted. */
+    @ParameterizedTest
+    @CsvSource({"150, true", "10, false"})
+    void countsCrashesOfSeveralMomentsAtOnce(long millisBetween, boolean expected) {
+        for (int crash = 0; crash < 5; crash++) {
+            nowNanos += Duration.ofMillis(millisBetween).toNanos();
+            ledger.add(aged(Set.of(BAD, RequestTrait.ofRequest(crash)), Duration.ZERO), nowNanos);
+        }
+        assertThat(isQuarantined(List.of(BAD))).isEqualTo(expected);
+    }
+
     /** Guards against a quarantine without a way back after upstreams that ended at once, and were away for a while. */
     @ParameterizedTest
     @ValueSource(ints = {5, 9})
