--- a/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
+++ b/galenahinge/src/main/java/org/galenahinge/supply/EngineWeightsController.java
@@ -22,6 +22,11 @@
  *
  * <p>Staged chunks may become corrupt at any time, so they are read back again if the load command has to wait, or if
  * the process or its VM was suspended before the command was written.
+ *
+ * <p>A load command without a response is unresolved: the engine may still accept it, and loads what is staged at that moment.
+ * Until the engine's reports count it, another command took its place, or the engine has ended, only the version of that
+ * command is staged, and the command is sent again. The engine accepts only one of the two, since both expect the same number of
+ * commands before them.
  */
 public final class EngineWeightsController {
     private static final Duration VERIFICATION_VALID_FOR = Duration.ofMillis(1_200);
@@ -50,9 +55,13 @@
     private ManifestDoubt doubt = new ManifestDoubt();
     private boolean loading;
     private Optional<WeightsVersion> commanded = Optional.empty();
+    private Optional<UnresolvedCommand> unresolved = Optional.empty();
     private long commandedNanos;
     private long announcedNanos;
 
+    /** A load command that the engine may have accepted, or may still accept, and how many it had accepted before. */
+    private record UnresolvedCommand(WeightsDigests digests, long expectedCommands) {}
+
     private EngineWeightsController(
             EngineControl engine,
             Function<Integer, Optional<WeightsSource>> sources,
@@ -198,8 +207,12 @@
             awaitedLoadNanos = Optional.empty();
             loading = false;
             commanded = Optional.empty();
+            unresolved = Optional.empty();
         }
         report = Optional.of(newReport);
+        unresolved
+                .filter(command -> newReport.acceptedCommands() > command.expectedCommands())
+                .ifPresent(this::commandAccepted);
         if (loading
                 && commanded.filter(weights -> hasLoaded(newReport, weights)).isPresent()) {
             loadCompleted(commanded.get());
@@ -212,6 +225,19 @@
         startStagingIfNeeded();
     }
 
+    private void commandAccepted(UnresolvedCommand command) {
+        unresolved = Optional.empty();
+        if (loading) {
+            return;
+        }
+        loading = true;
+        commanded = Optional.of(command.digests().weights());
+        commandedNanos = timers.nanoTime();
+        log.event(Category.BELIEF, "engine_order_accepted_late")
+                .with("version", command.digests().weights().version())
+                .write();
+    }
+
     private void loadCompleted(WeightsVersion weights) {
         loading = false;
         Duration loadTime = Duration.ofNanos(timers.nanoTime() - announcedNanos);
@@ -264,14 +290,13 @@
     }
 
     private void startStagingIfNeeded() {
-        if (target.isEmpty()
-                || report.isEmpty()
-                || isUpToDate(report.get())
-                || report.get().busy()
-                || loading) {
+        boolean upToDate =
+                unresolved.isEmpty() && report.filter(this::isUpToDate).isPresent();
+        if (target.isEmpty() || report.isEmpty() || upToDate || report.get().busy() || loading) {
             return;
         }
-        boolean inProgress = staging.filter(current -> current.digests().equals(target.get()))
+        boolean inProgress = staging.filter(
+                        current -> current.digests().equals(toStage().get()))
                 .isPresent();
         if (inProgress) {
             return;
@@ -282,7 +307,7 @@
     private void startStaging() {
         stagingIncarnation = report.orElseThrow().incarnation();
         ChunkStaging next = new ChunkStaging(
-                target.orElseThrow(),
+                toStage().orElseThrow(),
                 stagingResources,
                 this::isCurrent,
                 this::onStagingComplete,
@@ -291,6 +316,11 @@
         next.start();
     }
 
+    /** Returns the version that may be staged: that of a command which the engine may still accept, otherwise the target. */
+    private Optional<WeightsDigests> toStage() {
+        return unresolved.map(UnresolvedCommand::digests).or(() -> target);
+    }
+
     /** A chunk that was fetched does not match: its digest may be what is damaged. */
     private void chunkMismatched(int number) {
         if (doubt.recordMismatch(number)) {
@@ -320,7 +350,9 @@
 
     private boolean isCurrent(ChunkStaging candidate) {
         return staging.filter(current -> current == candidate).isPresent()
-                && target.filter(digests -> digests.equals(candidate.digests())).isPresent();
+                && toStage()
+                        .filter(digests -> digests.equals(candidate.digests()))
+                        .isPresent();
     }
 
     /**
@@ -415,6 +447,11 @@
             boolean accepted = error == null && (result == LoadResult.BEGUN || result == LoadResult.IN_EFFECT);
             // A command without a response may have been accepted as well; the next report shows it.
             loading = accepted;
+            if (error != null) {
+                unresolved = Optional.of(new UnresolvedCommand(finished.digests(), expected));
+            } else if (accepted) {
+                unresolved = Optional.empty();
+            }
             log.event(accepted ? Category.BELIEF : Category.FAILURE, "engine_ordered")
                     .with("version", weights.version())
                     .with("expected_orders", expected)
--- a/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/supply/EngineWeightsControllerTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.galenahinge.concurrent.ManualTimers;
 import org.galenahinge.log.EventLog;
 import org.galenahinge.supply.EngineControl.EngineReport;
@@ -29,6 +31,7 @@
 
 class EngineWeightsControllerTest {
     private static final int CHUNKS = 4;
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
     private final ManualTimers timers = new ManualTimers();
     private final FakeEngine engine = new FakeEngine();
@@ -319,6 +322,35 @@
         return TestWeights.digests(version, CHUNKS);
     }
 
+    /**
+     * Guards against chunks of the next version that are staged while a load command without a response may still be accepted:
+     * the engine would load chunks of two versions.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1_050, 1_200, 1_500, 3_000, 10_000})
+    void stagesNoOtherVersionWhileALoadCommandMayStillBeAccepted(long acceptedAfterMillis) {
+        engine.acceptNextCommandAfter = Optional.of(Duration.ofMillis(acceptedAfterMillis));
+        controller.setTarget(digests(1), LoadSchedule.UNKNOWN);
+        report(Duration.ofMillis(400));
+        engine.stagingDelay = Duration.ofMillis(300);
+        controller.setTarget(digests(2), LoadSchedule.UNKNOWN);
+        report(Duration.ofSeconds(20));
+        assertThat(engine.mixedLoads).isEmpty();
+        assertThat(engine.loadedVersion).isEqualTo(2);
+    }
+
+    /** Guards against an engine that stays on an older version since it ended before it accepted a load command. */
+    @Test
+    void stagesTheTargetOnceTheEngineThatMayStillAcceptAnotherHasEnded() {
+        engine.acceptNextCommandAfter = Optional.of(Duration.ofSeconds(30));
+        controller.setTarget(digests(1), LoadSchedule.UNKNOWN);
+        report(Duration.ofMillis(400));
+        controller.setTarget(digests(2), LoadSchedule.UNKNOWN);
+        engine.restart();
+        report(Duration.ofSeconds(3));
+        assertThat(engine.loaded).containsExactly(2L);
+    }
+
     private static final class FakeSource implements WeightsSource {
         private boolean responds = true;
         private int corruptChunks;
@@ -354,7 +386,9 @@
     private final class FakeEngine implements EngineControl {
         private final Map<Integer, byte[]> staged = new HashMap<>();
         private final List<Long> loaded = new ArrayList<>();
+        private final List<Long> mixedLoads = new ArrayList<>();
         private Map<Integer, byte[]> stagedAtCommand = Map.of();
+        private Optional<Duration> acceptNextCommandAfter = Optional.empty();
         private long loadedVersion;
         private long acceptedCommands;
         private long loadingVersion;
@@ -398,16 +432,44 @@
             if (!stillValid.getAsBoolean()) {
                 return CompletableFuture.failedFuture(new SupplyException("not sent"));
             }
+            if (acceptNextCommandAfter.isPresent()) {
+                return acceptLate(weights, expectedCommands);
+            }
+            return CompletableFuture.completedFuture(accept(weights, expectedCommands));
+        }
+
+        /** Accepts a command after its sender has given up waiting for a response. */
+        private CompletionStage<LoadResult> acceptLate(WeightsVersion weights, long expectedCommands) {
+            long startedIn = incarnation;
+            timers.schedule(acceptNextCommandAfter.orElseThrow(), () -> {
+                if (startedIn == incarnation) {
+                    accept(weights, expectedCommands);
+                }
+            });
+            acceptNextCommandAfter = Optional.empty();
+            CompletableFuture<LoadResult> response = new CompletableFuture<>();
+            timers.schedule(
+                    RESPONSE_TIMEOUT, () -> response.completeExceptionally(new SupplyException("no response in time")));
+            return response;
+        }
+
+        private LoadResult accept(WeightsVersion weights, long expectedCommands) {
             if (expectedCommands != acceptedCommands) {
-                return CompletableFuture.completedFuture(LoadResult.CONFLICT);
+                return LoadResult.CONFLICT;
             }
             acceptedCommands++;
             if (dropNextCommand) {
                 dropNextCommand = false;
-                return CompletableFuture.completedFuture(LoadResult.BEGUN);
+                return LoadResult.BEGUN;
             }
             loaded.add(weights.version());
             stagedAtCommand = Map.copyOf(staged);
+            boolean mixed = IntStream.range(0, CHUNKS)
+                    .anyMatch(
+                            number -> !Arrays.equals(staged.get(number), TestWeights.chunk(weights.version(), number)));
+            if (mixed) {
+                mixedLoads.add(weights.version());
+            }
             if (finishLoadsManually) {
                 loadingVersion = weights.version();
             } else if (!loadTime.isZero()) {
@@ -416,7 +478,7 @@
             } else {
                 loadedVersion = weights.version();
             }
-            return CompletableFuture.completedFuture(LoadResult.BEGUN);
+            return LoadResult.BEGUN;
         }
 
         void restart() {
