--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -19,10 +19,10 @@
  * a trait is in quarantine: it must not reach another upstream.
  *
  * <p>The belief that a trait crashes upstreams begins with the crashes that it explains. It ends when the trait is served, at
- * any node, in particular by one of a few {@link QuarantineTrials trials}, or an hour after the crashes. It outlasts everything else: the return
- * of the upstreams, changes of the configuration, and the restart of single nodes, which are told by the others. A trait that was served
- * shortly before a crash is not suspected of it, so that what all requests have in common explains nothing when all upstreams
- * end at once.
+ * any node, in particular by one of a few {@link QuarantineTrials trials}, or an hour after the crashes. It outlasts everything
+ * else: the return of the upstreams, changes of the configuration, and the restart of single nodes, which are told by the
+ * others. A trait that was served shortly before a crash is not suspected of it, so that what all requests have in common
+ * explains nothing when all upstreams end at once.
  *
  * <p>Its size does not depend on the number of requests: it holds a bounded number of crashes, and when a bounded number
  * of traits was last served. Not thread-safe.
