A request as a whole is tried a minute after its last crash, not after ten seconds

Cause: trials count from the last crash now, and not from the first refusal after it.

Evidence: CrashLedgerTest.triesARequestAsAWholeLaterThanAPart, whose second case fails without the change.

Change: the way back in ten seconds is for parts of prompts, which sound requests share. A request as a whole harms nobody else while it waits, so its trials come after a minute.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/QuarantineTrials.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/QuarantineTrials.java
@@ -17,8 +17,9 @@
  *
  * <p>One node tries a cause at a time. How much was tried follows from the times of the crashes, which all nodes know, so that
  * another node that takes over does not begin anew; what only this node knows is the trials of which it saw no end. A cause
- * that crashed upstreams at several moments, and that nobody has served in between, is tried rarely; crashes at one moment
- * may have another reason, such as a loss of power, and a cause that explains only those is tried soon.
+ * that crashed upstreams at several moments, and that nobody has served in between, is tried rarely, and so is a request as a
+ * whole; crashes at one moment may have another reason, such as a loss of power, and a part that explains only those is tried
+ * soon.
  *
  * <p>Not thread-safe.
  */
@@ -28,7 +29,7 @@
 
     private static final int MAXIMUM_TRIED_CAUSES = 64;
     private static final Duration INTERVAL = Duration.ofSeconds(10);
-    private static final Duration INTERVAL_IF_REPEATED = Duration.ofMinutes(1);
+    private static final Duration RARE_INTERVAL = Duration.ofMinutes(1);
 
     /** Requests that were on their way when the cause became certain have reached their upstreams after this time. */
     private static final Duration SPREAD_TIME = Duration.ofSeconds(3);
@@ -73,7 +74,7 @@
         if (Math.max(before.count(), trialsSeen(cause, crashNanos)) >= MAXIMUM_TRIALS) {
             return false;
         }
-        long interval = (CrashMoments.areRepeated(crashNanos) ? INTERVAL_IF_REPEATED : INTERVAL).toNanos();
+        long interval = interval(cause, crashNanos).toNanos();
         List<Long> ordered = CrashMoments.ordered(crashNanos);
         boolean isDue = nowNanos - ordered.get(ordered.size() - 1) >= interval
                 && (before.lastNanos().isEmpty()
@@ -84,6 +85,12 @@
         return isDue;
     }
 
+    /** A request as a whole harms nobody else while it waits. */
+    private static Duration interval(Cause cause, List<Long> crashNanos) {
+        boolean isWholeRequest = cause.traits().stream().anyMatch(RequestTrait::isWholeRequest);
+        return isWholeRequest || CrashMoments.areRepeated(crashNanos) ? RARE_INTERVAL : INTERVAL;
+    }
+
     /** Takes back the last trial of a cause: no upstream received the request. The next one is due at once. */
     void takeBack(Cause cause) {
         trials.computeIfPresent(
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
@@ -117,6 +117,18 @@
         assertThat(ledger.decide(List.of(SOUND), nowNanos)).isEqualTo(Decision.ALLOWED);
     }
 
+    /** Guards against trials of one request that end upstreams soon after it was found, though it harms nobody else. */
+    @ParameterizedTest
+    @CsvSource({"11, false, TRIAL", "11, true, QUARANTINED", "61, true, TRIAL"})
+    void triesARequestAsAWholeLaterThanAPart(long seconds, boolean wholeRequest, Decision expected) {
+        RequestTrait cause = wholeRequest ? RequestTrait.ofRequest(1) : BAD;
+        for (int crash = 0; crash < 3; crash++) {
+            ledger.add(aged(Set.of(cause), Duration.ZERO), nowNanos);
+        }
+        nowNanos += Duration.ofSeconds(seconds).toNanos();
+        assertThat(ledger.decide(List.of(cause), nowNanos)).isEqualTo(expected);
+    }
+
     /** Guards against trials that begin anew at another node, which would end more upstreams than the rule allows. */
     @ParameterizedTest
     @ValueSource(ints = {5, 8})
