One bounded map for the crash ledger and the trials

Read-through: QuarantineTrials had written again the map that CrashLedger has, which drops what was not used for longest. BoundedMap serves both. MAXIMUM_TRIALS is private, since nobody else uses it. Behaviour as before.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -320,19 +320,8 @@
     private static Map<Kind, Map<RequestTrait, Long>> servedByKind() {
         Map<Kind, Map<RequestTrait, Long>> maps = new EnumMap<>(Kind.class);
         for (Kind kind : Kind.values()) {
-            maps.put(kind, boundedMap(MAXIMUM_SERVED_TRAITS));
+            maps.put(kind, new BoundedMap<>(MAXIMUM_SERVED_TRAITS));
         }
         return maps;
     }
-
-    private static <K, V> Map<K, V> boundedMap(int maximum) {
-        return new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-                return size() > maximum;
-            }
-        };
-    }
 }
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/QuarantineTrials.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/QuarantineTrials.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,7 +24,7 @@
  */
 final class QuarantineTrials {
     /** The rule allows three requests after a cause is certain; one may already have been on its way elsewhere. */
-    static final int MAXIMUM_TRIALS = 2;
+    private static final int MAXIMUM_TRIALS = 2;
 
     private static final int MAXIMUM_TRIED_CAUSES = 64;
     private static final Duration INTERVAL = Duration.ofSeconds(10);
@@ -35,14 +34,7 @@
     private static final Duration SPREAD_TIME = Duration.ofSeconds(3);
 
     private final Predicate<RequestTrait> triedHere;
-    private final Map<Set<RequestTrait>, Trials> trials = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Set<RequestTrait>, Trials> eldest) {
-            return size() > MAXIMUM_TRIED_CAUSES;
-        }
-    };
+    private final Map<Set<RequestTrait>, Trials> trials = new BoundedMap<>(MAXIMUM_TRIED_CAUSES);
 
     /** The trials that this node has begun, and when it began the last one, in nanoseconds. */
     private record Trials(int count, OptionalLong lastNanos) {
