Nodes no longer tell each other without end of crashes for which they have no room

After 97 engines had ended at one moment, case 5 of servesAPartOfAllRequestsAfterAllEnginesHaveEnded took 192 s on an idle machine, where the code before took under 10 s for the whole class. An entry would have spent its processor on crashes, not on requests.

Cause: an entry holds 64 crashes and dropped its oldest one for any younger one. The age of a crash that another entry tells lacks the time of the telling, so that it always looked some milliseconds younger than those that were held: it was taken in again, an older one dropped and told back, and each time the crash became younger. Stacks of the test process stood in CrashLedger.makeRoomFor, in 8 of 8 samples in it or in causes that were found again after each change.

Change: a crash makes way only for one that is more than a second younger; of one moment, an entry keeps those of which it heard first. The ages are compared before any cause is sought.

Test: CrashLedgerTest.endsTheExchangeOfMoreCrashesThanItHolds, 2 of 3 failed before.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -44,6 +44,9 @@
 
     private static final Duration RETENTION = Duration.ofHours(1);
 
+    /** How exact the time of a crash is that another node tells, so that both agree which of two is the older one. */
+    private static final Duration TIME_TOLERANCE = Duration.ofSeconds(1);
+
     private final QuarantineTrials trials;
     private final Map<Long, Entry> crashes = new LinkedHashMap<>();
     private final Map<Kind, Map<RequestTrait, Long>> servedNanos = servedByKind();
@@ -261,22 +264,26 @@
 
     /**
      * Makes room for a crash by dropping an older one that no cause explains; those that it explains keep it in force. All
-     * nodes keep the youngest ones, so that they do not tell each other of those that the others have dropped.
+     * nodes keep the youngest ones, and of one moment those of which they heard first, so that they do not tell each other
+     * without end of those that the others have dropped.
      */
     private boolean makeRoomFor(long crashNanos, long nowNanos) {
         if (crashes.size() < MAXIMUM_CRASHES) {
             return true;
         }
-        List<Cause> known = causes(nowNanos);
         Optional<Entry> oldest = crashes.values().stream()
-                .filter(entry -> known.stream()
-                        .noneMatch(cause -> entry.crash().remaining().containsAll(cause.traits())))
-                .min((first, second) -> Long.signum(first.crashNanos() - second.crashNanos()))
-                .filter(entry -> entry.crashNanos() - crashNanos < 0);
+                .filter(entry -> crashNanos - entry.crashNanos() > TIME_TOLERANCE.toNanos())
+                .filter(entry -> !isExplained(entry.crash(), nowNanos))
+                .min((first, second) -> Long.signum(first.crashNanos() - second.crashNanos()));
         oldest.ifPresent(entry -> crashes.remove(entry.crash().upstream()));
         return oldest.isPresent();
     }
 
+    private boolean isExplained(Crash crash, long nowNanos) {
+        Set<RequestTrait> remaining = crash.remaining();
+        return causes(nowNanos).stream().anyMatch(cause -> remaining.containsAll(cause.traits()));
+    }
+
     private void removeExpired(long nowNanos) {
         boolean removed = crashes.values().removeIf(entry -> nowNanos - entry.crashNanos() >= RETENTION.toNanos());
         if (removed) {
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
@@ -3,8 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.galenahinge.quarantine.CrashLedger.AgedCrash;
 import org.galenahinge.quarantine.CrashLedger.Decision;
 import org.junit.jupiter.api.Test;
@@ -189,6 +194,46 @@
         assertThat(ledger.changedWithin(SETTLED, nowNanos)).isEmpty();
     }
 
+    /**
+     * Guards against nodes that tell each other for ever of crashes at one moment for which they have no room: each telling
+     * makes a crash look younger than those that are held.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 65", "8, 97", "20, 300"})
+    void endsTheExchangeOfMoreCrashesThanItHolds(int nodes, int crashes) {
+        List<AgedCrash> moment = IntStream.range(0, crashes)
+                .mapToObj(number -> aged(Set.of(RequestTrait.ofPart(number)), Duration.ZERO))
+                .collect(Collectors.toCollection(ArrayList::new));
+        List<CrashLedger> ledgers = new ArrayList<>();
+        Random random = new Random(1);
+        for (int node = 0; node < nodes; node++) {
+            CrashLedger started = CrashLedger.create(part -> true);
+            Collections.shuffle(moment, random);
+            moment.forEach(crash -> started.add(crash, nowNanos));
+            ledgers.add(started);
+        }
+        long startNanos = nowNanos;
+        for (int telling = 0; telling < 100 * nodes; telling++) {
+            tell(ledgers.get(random.nextInt(nodes)), ledgers.get(random.nextInt(nodes)));
+        }
+        Duration age = Duration.ofNanos(nowNanos - startNanos);
+        nowNanos += SETTLED.toNanos();
+        for (CrashLedger told : ledgers) {
+            tell(ledgers.get(0), told);
+            assertThat(told.changedWithin(SETTLED, nowNanos)).isEmpty();
+            assertThat(told.all(nowNanos))
+                    .hasSize(CrashLedger.MAXIMUM_CRASHES)
+                    .allMatch(crash -> crash.age().compareTo(age) >= 0);
+        }
+    }
+
+    /** Tells a node of all crashes that another one holds, which takes some milliseconds. */
+    private void tell(CrashLedger from, CrashLedger to) {
+        List<AgedCrash> told = from.all(nowNanos);
+        nowNanos += Duration.ofMillis(3).toNanos();
+        told.forEach(crash -> to.add(crash, nowNanos));
+    }
+
     @Test
     void forgetsCrashesAfterAnHour() {
         crash(5, BAD);
