A part that only some upstreams had is not blamed when many end at one moment

Cause: crashes at one moment counted for each part that three of their upstreams had. Traces of the refused requests: a part that was at 4, 5 or 7 of 10 engines which ended within 4 ms, and that the part at all ten explained until that one was served again. Its trial is due at one entry only, which may get few requests with it, or lose the trial with an engine that a real culprit crashes.

Change: CrashSuspects. Of three or more crashes within 100 ms, a trait is suspected only if all of them have it, or all but one. Fewer crashes at one moment, and those at other moments, count as before, so that a culprit that was there by chance is found by its next crashes.

--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashAttribution.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashAttribution.java
@@ -50,10 +50,9 @@
         }
     }
 
-    /** Finds the causes of crashes; those that explain most come first. */
-    static List<Cause> causes(Collection<Crash> crashes) {
-        List<Set<RequestTrait>> unexplained =
-                new ArrayList<>(crashes.stream().map(Crash::remaining).toList());
+    /** Finds the causes of crashes, each of which is given by its suspects; those that explain most come first. */
+    static List<Cause> causes(Collection<Set<RequestTrait>> crashes) {
+        List<Set<RequestTrait>> unexplained = new ArrayList<>(crashes);
         List<Cause> causes = new ArrayList<>();
         while (true) {
             List<Cause> next = nextCauses(unexplained);
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashLedger.java
@@ -22,7 +22,7 @@
  * any node, in particular by one of a few {@link QuarantineTrials trials}, or an hour after the crashes. It outlasts everything
  * else: the return of the upstreams, changes of the configuration, and the restart of single nodes, which are told by the
  * others. A trait that was served shortly before a crash is not suspected of it, so that what all requests have in common
- * explains nothing when all upstreams end at once.
+ * explains nothing when all upstreams end at once; nor is one that only some of those had that ended at one moment.
  *
  * <p>Its size does not depend on the number of requests: it holds a bounded number of crashes, and when a bounded number
  * of traits was last served. Not thread-safe.
@@ -48,8 +48,9 @@
     private static final Duration TIME_TOLERANCE = Duration.ofSeconds(1);
 
     private final QuarantineTrials trials;
-    private final Map<Long, Entry> crashes = new LinkedHashMap<>();
+    private final Map<Long, KnownCrash> crashes = new LinkedHashMap<>();
     private final Map<Kind, Map<RequestTrait, Long>> servedNanos = servedByKind();
+    private Map<Long, Set<RequestTrait>> suspects = Map.of();
     private List<Cause> causes = List.of();
     private Optional<Long> nextChangeNanos = Optional.empty();
 
@@ -68,7 +69,15 @@
     }
 
     /** A crash, when it happened and when this node last learnt something new of it, both in nanoseconds. */
-    private record Entry(Crash crash, long crashNanos, long changedNanos) {}
+    record KnownCrash(Crash crash, long crashNanos, long changedNanos) {
+        boolean isSettled(long nowNanos) {
+            return nowNanos - settledNanos() >= 0;
+        }
+
+        long settledNanos() {
+            return crashNanos + SETTLE_TIME.toNanos();
+        }
+    }
 
     /**
      * A crash as one node tells another.
@@ -94,19 +103,19 @@
      */
     public void add(AgedCrash reported, long nowNanos) {
         removeExpired(nowNanos);
-        Entry known = crashes.get(reported.crash().upstream());
+        KnownCrash known = crashes.get(reported.crash().upstream());
         long crashNanos = nowNanos - reported.age().toNanos();
         if (known == null) {
             if (reported.age().compareTo(RETENTION) >= 0 || !makeRoomFor(crashNanos, nowNanos)) {
                 return;
             }
             Crash crash = clearServed(reported.crash(), crashNanos);
-            put(new Entry(crash, crashNanos, nowNanos));
+            put(new KnownCrash(crash, crashNanos, nowNanos));
             return;
         }
         Crash merged = clearServed(known.crash().merge(reported.crash()), known.crashNanos());
         if (!merged.equals(known.crash())) {
-            put(new Entry(merged, known.crashNanos(), nowNanos));
+            put(new KnownCrash(merged, known.crashNanos(), nowNanos));
         }
     }
 
@@ -175,8 +184,8 @@
     /** Returns when the crashes were that a cause explains. */
     private List<Long> crashNanos(Cause cause) {
         return crashes.values().stream()
-                .filter(entry -> entry.crash().remaining().containsAll(cause.traits()))
-                .map(Entry::crashNanos)
+                .filter(entry -> suspects(entry).containsAll(cause.traits()))
+                .map(KnownCrash::crashNanos)
                 .toList();
     }
 
@@ -200,7 +209,7 @@
     public List<AgedCrash> changedWithin(Duration since, long nowNanos) {
         removeExpired(nowNanos);
         List<AgedCrash> changed = new ArrayList<>();
-        for (Entry entry : crashes.values()) {
+        for (KnownCrash entry : crashes.values()) {
             if (nowNanos - entry.changedNanos() <= since.toNanos()) {
                 changed.add(new AgedCrash(entry.crash(), Duration.ofNanos(nowNanos - entry.crashNanos())));
             }
@@ -237,11 +246,11 @@
     }
 
     private void clear(RequestTrait trait, long nowNanos) {
-        for (Entry entry : List.copyOf(crashes.values())) {
+        for (KnownCrash entry : List.copyOf(crashes.values())) {
             boolean suspect = entry.crash().suspects().contains(trait)
                     && !entry.crash().cleared().contains(trait);
             if (suspect) {
-                put(new Entry(entry.crash().clear(trait), entry.crashNanos(), nowNanos));
+                put(new KnownCrash(entry.crash().clear(trait), entry.crashNanos(), nowNanos));
             }
         }
     }
@@ -257,7 +266,7 @@
         return cleared;
     }
 
-    private void put(Entry entry) {
+    private void put(KnownCrash entry) {
         crashes.put(entry.crash().upstream(), entry);
         nextChangeNanos = Optional.of(entry.changedNanos());
     }
@@ -271,17 +280,16 @@
         if (crashes.size() < MAXIMUM_CRASHES) {
             return true;
         }
-        Optional<Entry> oldest = crashes.values().stream()
+        Optional<KnownCrash> oldest = crashes.values().stream()
                 .filter(entry -> crashNanos - entry.crashNanos() > TIME_TOLERANCE.toNanos())
-                .filter(entry -> !isExplained(entry.crash(), nowNanos))
+                .filter(entry -> !isExplained(entry, nowNanos))
                 .min((first, second) -> Long.signum(first.crashNanos() - second.crashNanos()));
         oldest.ifPresent(entry -> crashes.remove(entry.crash().upstream()));
         return oldest.isPresent();
     }
 
-    private boolean isExplained(Crash crash, long nowNanos) {
-        Set<RequestTrait> remaining = crash.remaining();
-        return causes(nowNanos).stream().anyMatch(cause -> remaining.containsAll(cause.traits()));
+    private boolean isExplained(KnownCrash known, long nowNanos) {
+        return causes(nowNanos).stream().anyMatch(cause -> suspects(known).containsAll(cause.traits()));
     }
 
     private void removeExpired(long nowNanos) {
@@ -293,28 +301,24 @@
 
     private List<Cause> causes(long nowNanos) {
         if (nextChangeNanos.isPresent() && nowNanos - nextChangeNanos.get() >= 0) {
-            List<Crash> settled = new ArrayList<>();
-            nextChangeNanos = Optional.empty();
-            for (Entry entry : crashes.values()) {
-                long settledNanos = entry.crashNanos() + SETTLE_TIME.toNanos();
-                if (nowNanos - settledNanos >= 0) {
-                    settled.add(entry.crash());
-                } else {
-                    nextChangeNanos = Optional.of(nextChangeNanos
-                            .map(known -> known - settledNanos < 0 ? known : settledNanos)
-                            .orElse(settledNanos));
-                }
-            }
-            causes = findCauses(settled);
+            nextChangeNanos = crashes.values().stream()
+                    .filter(entry -> !entry.isSettled(nowNanos))
+                    .map(KnownCrash::settledNanos)
+                    .min((first, second) -> Long.signum(first - second));
+            suspects = CrashSuspects.of(crashes.values());
+            causes = findCauses(nowNanos);
         }
         return causes;
     }
 
     /** Finds causes among crashes that have settled. What certainly crashes upstreams again and again does not wait for that. */
-    private List<Cause> findCauses(List<Crash> settled) {
+    private List<Cause> findCauses(long nowNanos) {
+        List<Set<RequestTrait>> settled = crashes.values().stream()
+                .filter(entry -> entry.isSettled(nowNanos))
+                .map(this::suspects)
+                .toList();
         List<Cause> found = new ArrayList<>(CrashAttribution.causes(settled));
-        List<Crash> all = crashes.values().stream().map(Entry::crash).toList();
-        CrashAttribution.causes(all).stream()
+        CrashAttribution.causes(suspects.values()).stream()
                 .filter(Cause::isCertain)
                 .filter(cause -> CrashMoments.areRepeated(crashNanos(cause)))
                 .filter(cause ->
@@ -323,6 +327,10 @@
         return List.copyOf(found);
     }
 
+    private Set<RequestTrait> suspects(KnownCrash known) {
+        return suspects.getOrDefault(known.crash().upstream(), Set.of());
+    }
+
     /** Requests as wholes are far more numerous than parts and must not displace them. */
     private static Map<Kind, Map<RequestTrait, Long>> servedByKind() {
         Map<Kind, Map<RequestTrait, Long>> maps = new EnumMap<>(Kind.class);
--- a/galenahinge/src/main/java/org/galenahinge/quarantine/CrashMoments.java
+++ b/galenahinge/src/main/java/org/galenahinge/quarantine/CrashMoments.java
@@ -10,7 +10,8 @@
  * its own, such as a loss of power, which nodes saw one after the other.
  */
 final class CrashMoments {
-    private static final Duration MOMENT = Duration.ofMillis(100);
+    /** Crashes of one event are seen within this time of each other. */
+    static final Duration MOMENT = Duration.ofMillis(100);
 
     /** From so many moments on, crashes are no single event. */
     private static final int REPEATED = 4;
--- a/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/CrashGossipTest.java
@@ -6,8 +6,8 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -148,6 +148,11 @@
         "8, 10, 80, 5000, 1, 0.8, 7",
         "8, 10, 400, 150, 1, 0.8, 8",
         "20, 28, 200, 5000, 3, 2, 9",
+        // Parts that several of the engines had, but few requests have, were in quarantine for long here.
+        "8, 10, 80, 5000, 3, 0, 115",
+        "8, 10, 80, 5000, 1, 0.8, 245",
+        "8, 10, 400, 150, 1, 0.8, 119",
+        "20, 28, 200, 5000, 3, 2, 34",
     })
     void servesAPartOfAllRequestsAfterAllEnginesHaveEnded(
             int entryCount,
@@ -223,7 +228,7 @@
 
     /** A request of its own with a common part, unless it is the one that its caller repeats. */
     private Set<RequestTrait> traits(Set<RequestTrait> crashing) {
-        Set<RequestTrait> traits = new HashSet<>(crashing);
+        Set<RequestTrait> traits = new LinkedHashSet<>(crashing);
         traits.addAll(shared);
         if (!crashing.contains(CRASHING_REQUEST)) {
             traits.add(commonPart());
@@ -255,7 +260,7 @@
 
     private final class Engine {
         private final int number;
-        private final Set<Running> running = new HashSet<>();
+        private final Set<Running> running = new LinkedHashSet<>();
         private int incarnation;
         private boolean up = true;
 
@@ -302,8 +307,8 @@
                 knownCrashNanos = timers.nanoTime();
             }
             up = false;
-            Map<Entry, Set<RequestTrait>> suspects = new HashMap<>();
-            running.forEach(one -> suspects.computeIfAbsent(one.entry(), entry -> new HashSet<>())
+            Map<Entry, Set<RequestTrait>> suspects = new LinkedHashMap<>();
+            running.forEach(one -> suspects.computeIfAbsent(one.entry(), entry -> new LinkedHashSet<>())
                     .addAll(one.traits()));
             List<Running> lost = new ArrayList<>(running);
             running.clear();
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashAttributionTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashAttributionTest.java
@@ -49,9 +49,9 @@
         "a b !f | a !f | a b !f | b, !f"
     })
     void findsTheFewestPartsThatExplainTheCrashes(String crashes, String expected) {
-        List<Crash> list = new ArrayList<>();
+        List<Set<RequestTrait>> list = new ArrayList<>();
         for (String suspects : crashes.split("\\|", -1)) {
-            list.add(new Crash(list.size(), parts(suspects), Set.of()));
+            list.add(parts(suspects));
         }
         assertThat(CrashAttribution.causes(list).stream()
                         .map(cause -> text(cause.traits()))
--- a/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/quarantine/CrashLedgerTest.java
@@ -91,6 +91,34 @@
         assertThat(isQuarantined(List.of(SOUND))).isEqualTo(expected);
     }
 
+    /** Guards against a part that several of the upstreams had by chance which ended at one moment for a reason of their own. */
+    @ParameterizedTest
+    @CsvSource({
+        // crashes at one moment, those with the part, crashes with it later, milliseconds between two, whether it is
+        // blamed
+        "3, 3, 0, 0, true",
+        "4, 3, 0, 10, true",
+        "5, 3, 0, 10, false",
+        "5, 4, 0, 10, true",
+        "10, 5, 0, 10, false",
+        "10, 8, 0, 10, false",
+        "10, 9, 0, 10, true",
+        "10, 8, 2, 10, false",
+        "10, 8, 3, 10, true",
+        "10, 5, 0, 60, true",
+    })
+    void blamesNoPartOfSomeUpstreamsThatEndedAtOneMoment(
+            int crashes, int withPart, int later, long millisBetween, boolean expected) {
+        for (int crash = 0; crash < crashes; crash++) {
+            RequestTrait part = crash < withPart ? BAD : SOUND;
+            ledger.add(aged(Set.of(part, RequestTrait.ofRequest(crash)), Duration.ZERO), nowNanos);
+            nowNanos += Duration.ofMillis(millisBetween).toNanos();
+        }
+        nowNanos += SETTLED.toNanos();
+        crash(later, BAD);
+        assertThat(ledger.quarantined(nowNanos).contains(Set.of(BAD))).isEqualTo(expected);
+    }
+
     /** Guards against further engines that end while five crashes, one after the other, still wait to be refuted. */
     @ParameterizedTest
     @CsvSource({"150, true", "10, false"})
