--- a/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
+++ b/galenahinge/src/main/java/org/galenahinge/limit/NamedLimits.java
@@ -20,6 +20,9 @@
  * by their positions, beginning when the limit was first known, so that each knows its own turns without asking. A turn
  * that is not used lapses.
  *
+ * <p>The belief in a named limit begins with a response that names it, and ends with one that names none or after minutes
+ * without any. Upstreams whose limit is zero are therefore still sent a request now and then.
+ *
  * <p>Not thread-safe.
  */
 public final class NamedLimits {
@@ -30,6 +33,12 @@
     /** Responses that were under way when the limit was first named do not lift it. */
     private static final Duration MINIMUM_TIME = Duration.ofSeconds(1);
 
+    /**
+     * How many requests a second all nodes together send at least, however low the limit: only a response says that it has
+     * ended. It is within what an upstream must bear that has just named a limit.
+     */
+    private static final double MINIMUM_PER_SECOND = 0.5;
+
     /** Limits that nobody has heard of for so long are dropped, those of upstreams that are gone among them. */
     private static final Duration RETENTION = Duration.ofMinutes(5);
 
@@ -390,7 +399,8 @@
     }
 
     private static TurnRate namedRate(State named) {
-        return new TurnRate(named.perSecond().orElse(0), TURN_VALIDITY);
+        double perSecond = named.perSecond().orElse(0);
+        return new TurnRate(Math.max(perSecond, MINIMUM_PER_SECOND), TURN_VALIDITY);
     }
 
     private static TurnSchedule schedule(State named, TurnRate rate) {
--- a/galenahinge/src/test/java/org/galenahinge/node/LimitGossipTest.java
+++ b/galenahinge/src/test/java/org/galenahinge/node/LimitGossipTest.java
@@ -20,6 +20,7 @@
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration RESPONSE_TIME = Duration.ofMillis(60);
     private static final Duration WINDOW = Duration.ofSeconds(4);
+    private static final Duration RECOVERY_TIME = Duration.ofSeconds(12);
     private static final Duration SINCE_TOLD = Duration.ofMillis(500);
 
     private final ManualTimers timers = new ManualTimers();
@@ -65,6 +66,29 @@
         assertThat(arrived).isGreaterThan(entryCount * 10);
     }
 
+    /**
+     * Guards against an upstream that gets nothing any more because its last limit was zero, or nearly: nobody asks it for
+     * another one. Review case 9.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 0, 1", "8, 0, 2", "8, 0.02, 3", "49, 0, 4", "150, 0.001, 5", "570, 0, 6"})
+    void asksAnUpstreamThatTookNothing(int entryCount, double limit, long seed) {
+        start(entryCount, seed);
+        run(Duration.ofSeconds(2));
+        nameLimit(OptionalDouble.of(limit));
+        for (int second = 0; second < 20; second++) {
+            disturb(second);
+            run(Duration.ofSeconds(1));
+        }
+        assertThat(mostInWindow).isLessThanOrEqualTo(5);
+
+        nameLimit(OptionalDouble.empty());
+        run(RECOVERY_TIME);
+        arrived = 0;
+        run(Duration.ofSeconds(1));
+        assertThat(arrived).isGreaterThan(entryCount * 10);
+    }
+
     /** An upstream that names one limit after the other gets no more than the higher one allows. */
     @ParameterizedTest
     @CsvSource({"8, 2, 1, 1", "49, 4, 6, 2"})
