--- a/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
+++ b/galenahinge/src/main/java/org/galenahinge/node/EntryNode.java
@@ -228,8 +228,8 @@
     }
 
     /**
-     * Applies changed settings: the seeds, the time to stop and the cache time of addresses. Changes of other settings,
-     * such as the listening addresses, apply after a restart.
+     * Applies changed settings: the seeds, the time to stop and the cache time of addresses. The adapters to the platform apply
+     * theirs themselves. Changes of other settings, such as the listening addresses, apply after a restart.
      *
      * @param changed the new settings
      */
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/DeploymentStandIn.java
@@ -24,7 +24,7 @@
     /** The name of the service without an engine. */
     public static final String PLAIN = "plain";
 
-    private final StoreStandIn store = new StoreStandIn();
+    private StoreStandIn store = new StoreStandIn();
     private final OriginStandIn origin = new OriginStandIn();
     private final List<UpstreamStandIn> upstreams = new ArrayList<>();
 
@@ -100,6 +100,19 @@
         }
     }
 
+    /**
+     * Moves the store to another address, as settings that are created from now on say. The one before runs on, but gets no
+     * writes; whoever called this closes it.
+     *
+     * @return the store before
+     * @throws IOException if the server cannot bind a port
+     */
+    public StoreStandIn moveStore() throws IOException {
+        StoreStandIn former = store;
+        store = former.copy();
+        return former;
+    }
+
     /**
      * Returns the store.
      *
--- a/stand-ins/src/main/java/org/galenahinge/standins/platform/StoreStandIn.java
+++ b/stand-ins/src/main/java/org/galenahinge/standins/platform/StoreStandIn.java
@@ -140,6 +140,24 @@
         notifyAll();
     }
 
+    /**
+     * Starts a store at another address that holds the same items under the same revisions.
+     *
+     * @return the other store
+     * @throws IOException if the server cannot bind a port
+     */
+    public synchronized StoreStandIn copy() throws IOException {
+        StoreStandIn copy = new StoreStandIn();
+        synchronized (copy) {
+            copy.items.putAll(items);
+            copy.history.addAll(history);
+            copy.revision = revision;
+            copy.compactedRevision = compactedRevision;
+            copy.epoch = epoch;
+        }
+        return copy;
+    }
+
     /**
      * Makes the store unavailable, so that it responds to all requests with status 503, or available again.
      *
