The fleet of OwnStopTest waits for its first response before a test begins

Cause: the second failure had 98 bytes in place of the response. Of the rejections that an entry of the own path can give at that point only "no replica is ready for this request" is 98 bytes long as JSON (the others that were computed: 87, 96, 111, 111). The ticket is in force once its groups are assigned; the first status of the slot process may arrive later, and StoppedFleet waited for the ticket only, though it says that it waits until the service is served.

Change: it sends a request until one is served, and counts from there. What the tests check is as it was.

It was not reproduced before the change.

--- a/bench/src/test/java/org/galenahinge/bench/StoppedFleet.java
+++ b/bench/src/test/java/org/galenahinge/bench/StoppedFleet.java
@@ -1,5 +1,7 @@
 package org.galenahinge.bench;
 
+import static org.awaitility.Awaitility.await;
+
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
@@ -77,8 +79,16 @@
                         START_TIMEOUT)
                 .isPresent();
         if (!served) {
-            throw new IllegalStateException("the fleet does not serve its service");
+            throw new IllegalStateException("the ticket of the fleet is not in force");
         }
+        awaitFirstResponse();
+    }
+
+    /** Waits until the entry has heard of its slot process, which may be after the ticket is in force. */
+    private void awaitFirstResponse() {
+        String small = entryUri + "/v1/services/orders/small";
+        await().atMost(START_TIMEOUT).until(() -> HttpTool.send("POST", small, "{}") == 200);
+        begun.set(0);
     }
 
     EntryDaemon entry() {
